--- /dev/null
+++ b/ambershift/benchlink/__main__.py
@@ -0,0 +1,22 @@
+"""`python -m ambershift.benchlink`: the decisions on the bench's wire, over standard input and output."""
+
+from __future__ import annotations
+
+import sys
+
+from ambershift.benchlink import host, wire
+
+
+def main() -> int:
+    try:
+        host.serve(sys.stdin.buffer, sys.stdout.buffer)
+    except wire.WireError as error:
+        print(f"benchlink: {error}", file=sys.stderr)
+        return 2
+    except (BrokenPipeError, KeyboardInterrupt):
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ambershift/benchlink/wire.py
@@ -0,0 +1,279 @@
+"""The codec of the bench's wire: frames to records in our words, and orders to bytes."""
+
+from __future__ import annotations
+
+import json
+import math
+import struct
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from ambershift import interface as api
+
+NS_PER_MS = 1_000_000
+ALL_PEERS = 0xFFFF
+TEXT_MOST = 0xFFFF
+
+
+class WireError(Exception):
+    """Input that is not of this wire; the message says what and where."""
+
+
+class Instance(NamedTuple):
+    number: int
+
+
+class Stopped(NamedTuple):
+    pass
+
+
+class RawEntry(NamedTuple):
+    server: int
+    zone: int
+    phase: int
+    weight: float
+    since: int
+
+
+class RawList(NamedTuple):
+    kind: int
+    entries: tuple[RawEntry, ...]
+
+
+Record = Instance | Stopped | RawList | api.Event
+
+HEADER = struct.Struct("<Id")
+U32 = struct.Struct("<I")
+ENTRY = struct.Struct("<IBBHBfd")
+PLAIN = {
+    17: struct.Struct("<BQI"), 18: struct.Struct("<I"), 19: struct.Struct("<HBfB"),
+    24: struct.Struct("<"), 25: struct.Struct("<dBIHI"), 26: struct.Struct("<Q"),
+    27: struct.Struct("<HIf"), 28: struct.Struct("<H"), 29: struct.Struct("<HBIId"),
+    30: struct.Struct("<HB"), 31: struct.Struct("<QdH"),
+}
+MAIL = struct.Struct("<IH")
+BORN = struct.Struct("<QI")
+ROUNDUP = struct.Struct("<BIIIddB")
+HEALTH = struct.Struct("<IHdB")
+INVENTORY = struct.Struct("<II")
+
+
+def to_ns(ms: float) -> int:
+    return round(ms * NS_PER_MS) if math.isfinite(ms) else 0
+
+
+def needed(found: Mapping[str, Any], key: str, where: str = "") -> Any:
+    if key not in found:
+        raise WireError(f"settings: key '{where}{key}' is missing")
+    return found[key]
+
+
+def number(found: Mapping[str, Any], key: str, default: float | None = None, where: str = "") -> float:
+    value = needed(found, key, where) if default is None else found.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+        raise WireError(f"settings: key '{where}{key}' is not a number")
+    return value
+
+
+def section(found: Mapping[str, Any], key: str) -> Mapping[str, Any]:
+    value = found.get(key, {})
+    if not isinstance(value, dict):
+        raise WireError(f"settings: key '{key}' is not an object")
+    return value
+
+
+def flag(values: Any, at: int) -> bool:
+    return isinstance(values, list) and at < len(values) and bool(values[at])
+
+
+REPEATS = {
+    "free": api.Repeat.RETRIABLE, "guarded": api.Repeat.DEDUPED, "single_shot": api.Repeat.NON_RETRIABLE}
+
+
+def read_terms(text: bytes) -> api.Terms:
+    """Turn the settings of a `born` into terms; unknown keys are passed over."""
+    try:
+        found = json.loads(text)
+    except ValueError as error:
+        raise WireError(f"settings: not JSON ({error})") from None
+    if not isinstance(found, dict):
+        raise WireError("settings: not an object")
+    info, rules, limits = section(found, "family_info"), section(found, "rules"), section(found, "limits")
+    classes, zones = needed(found, "classes"), needed(found, "zones")
+    if not isinstance(classes, list) or not isinstance(zones, list):
+        raise WireError("settings: keys 'classes' and 'zones' must be lists")
+    groups = []
+    for at, one in enumerate(classes):
+        where = f"classes[{at}]."
+        if not isinstance(one, dict):
+            raise WireError(f"settings: key 'classes[{at}]' is not an object")
+        effect = needed(one, "effect", where)
+        groups.append(api.Group(
+            budget=to_ns(number(one, "on_time", None, where)),
+            expiry=to_ns(number(one, "deadline", None, where)),
+            utility=number(one, "worth", 1.0, where),
+            repeat=REPEATS.get(str(effect), api.Repeat.NON_RETRIABLE),
+            dedup_everywhere=one.get("group", "all") == "all",
+            dedup_window=to_ns(number(one, "dedup_window", 0, where)),
+            own_zone=flag(info.get("class_own_zone"), at), writes=flag(info.get("mutating"), at)))
+    return api.Terms(
+        zones=len(zones), zone=int(number(found, "zone", 0)), position=int(number(found, "position", 0)),
+        instances=int(number(found, "instances", 1)), groups=tuple(groups),
+        must_watch=found.get("discovery") == "subscribe",
+        told_after=to_ns(number(rules, "ask_within", 10_000)),
+        grace=to_ns(number(rules, "stop_sending_within", None, "rules.")),
+        only_draining_binds=bool(rules.get("soft_removal", False)),
+        cold=to_ns(number(rules, "cold", 0)), cold_share=number(rules, "cold_share", 1.0),
+        fall_multiple=number(rules, "tip_multiple", 4.0), fall_window=to_ns(number(rules, "fall", 2000)),
+        bare_limit=to_ns(number(info, "blackhole", 3000)), lines_per_s=number(info, "egress_per_s", 1000),
+        head=number(info, "per_message", 0), waiting_limit=number(info, "most_waiting", 1000),
+        message_limit=int(number(info, "messages_most", 0)),
+        message_span=to_ns(number(info, "reload_span", 10_000)),
+        way=to_ns(number(info, "late", 0)), way_most=to_ns(number(info, "push_delay_max", 0)),
+        report_period=to_ns(number(info, "cycle", 1000)), levels=str(info.get("admit", "silent")),
+        try_budgets=number(info, "try_aims", 1.0), strikes=int(number(info, "strikes", 0)),
+        may_probe=bool(limits.get("may_probe", False)), may_tell=bool(limits.get("peer_messages", False)),
+        slices=int(number(info, "slices", 0)), single_owner=bool(info.get("one_owner", False)),
+        in_hand=to_ns(number(info, "in_flight_max", 0)), lease=to_ns(number(info, "tenure", 0)))
+
+
+class Reader:
+    """Reads batches. List numbers outlive a batch, so they are kept here, not in an instance."""
+
+    def __init__(self) -> None:
+        self.lists: dict[int, tuple[RawEntry, ...]] = {}
+
+    def batch(self, frame: bytes) -> tuple[int, list[Record]]:
+        length, clock = HEADER.unpack_from(frame)
+        at, records = HEADER.size, list[Record]()
+        while at < length:
+            record, at = self.record(frame, at)
+            if record is not None:
+                records.append(record)
+        return to_ns(clock), records
+
+    def record(self, frame: bytes, start: int) -> tuple[Record | None, int]:
+        fields: tuple[Any, ...]
+        code, at = frame[start], start + 1
+        plain = PLAIN.get(code)
+        if plain is not None:
+            fields = take(plain, frame, at, start)
+            return self.plain(code, fields, start), at + plain.size
+        if code == 22:
+            zone, server, tries, bad, took, span, count = take(ROUNDUP, frame, at, start)
+            loads, at = floats(frame, at + ROUNDUP.size, count, start)
+            return api.Met(zone, server, tries, bad, to_ns(took), to_ns(span), loads), at
+        if code == 20:
+            table, count = take(INVENTORY, frame, at, start)
+            body, at = run(frame, at + INVENTORY.size, count * ENTRY.size, start)
+            entries = tuple(RawEntry(server, zone, phase, weight, to_ns(since))
+                            for server, zone, _, _, phase, weight, since in ENTRY.iter_unpack(body))
+            for place, entry in enumerate(entries):
+                if entry.phase > 2:
+                    raise WireError(f"byte {start}: entry {place} has an unknown phase {entry.phase}")
+            self.lists[table] = entries
+            return None, at
+        if code == 23:
+            server, verdict, took, count = take(HEALTH, frame, at, start)
+            loads, at = floats(frame, at + HEALTH.size, count, start)
+            return api.Probed(server, verdict == 100, to_ns(took), loads), at
+        if code == 16:
+            sender, count = take(MAIL, frame, at, start)
+            body, at = run(frame, at + MAIL.size, count, start)
+            return api.Mail(sender, body), at
+        if code == 21:
+            seed, count = take(BORN, frame, at, start)
+            body, at = run(frame, at + BORN.size, count, start)
+            return api.Born(seed, read_terms(body)), at
+        raise WireError(f"byte {start}: unknown code {code}")
+
+    def plain(self, code: int, fields: tuple[Any, ...], start: int) -> Record:
+        match code:
+            case 17:
+                kind, _, table = fields
+                if kind > 3:
+                    raise WireError(f"byte {start}: unknown kind of list {kind}")
+                if kind == 3:
+                    return api.ListFailed()
+                if table not in self.lists:
+                    raise WireError(f"byte {start}: unknown list number {table}")
+                return RawList(kind, self.lists[table])
+            case 18:
+                return Instance(fields[0])
+            case 19:
+                proxy, zone, rate, standing = fields
+                return api.Joined(proxy, zone, rate, bool(standing))
+            case 24:
+                return Stopped()
+            case 25:
+                span, group, bad, proxy, came = fields
+                return api.Usage(proxy, group, came, bad, to_ns(span))
+            case 26:
+                return api.Due(fields[0])
+            case 27:
+                return api.Held(*fields)
+            case 28:
+                return api.Left(fields[0])
+            case 29:
+                slice_, group, came, bad, span = fields
+                return api.Heat(slice_, group, came, bad, to_ns(span))
+            case 30:
+                return api.Given(fields[0]) if fields[1] else api.Taken(fields[0])
+            case _:
+                mark, took, proxy = fields
+                return api.Applied(mark, to_ns(took), proxy)
+
+
+def take(shape: struct.Struct, frame: bytes, at: int, start: int) -> tuple[Any, ...]:
+    try:
+        return shape.unpack_from(frame, at)
+    except struct.error:
+        raise WireError(f"byte {start}: record of code {frame[start]} is cut short") from None
+
+
+def run(frame: bytes, at: int, count: int, start: int) -> tuple[bytes, int]:
+    if at + count > len(frame):
+        raise WireError(f"byte {start}: count of code {frame[start]} runs past the frame's end")
+    return frame[at:at + count], at + count
+
+
+def floats(frame: bytes, at: int, count: int, start: int) -> tuple[tuple[float, ...], int]:
+    body, end = run(frame, at, 4 * count, start)
+    return struct.unpack(f"<{count}f", body), end
+
+
+def text(code: int, words: str) -> bytes:
+    body = words.encode()[:TEXT_MOST]
+    return struct.pack("<BH", code, len(body)) + body
+
+
+WRITERS: dict[type, Callable[[Any], bytes]] = {
+    api.Share: lambda o: struct.pack("<BHIf", 18, o.table, o.server, o.weight),
+    api.Clear: lambda o: struct.pack("<BH", 23, o.table),
+    api.Withdraw: lambda o: struct.pack("<BBI", 28, o.out, o.server),
+    api.Level: lambda o: struct.pack("<BHBHf", 21, o.mask, o.again, o.table, o.allowance),
+    api.Bind: lambda o: struct.pack("<BHHH", 22, o.proxy, o.table, o.mask),
+    api.Mark: lambda o: struct.pack("<BQB", 24, o.mark, o.everyone),
+    api.Probe: lambda o: struct.pack("<BI", 20, o.server),
+    api.Watch: lambda o: struct.pack("<BB", 26, o.on),
+    api.Fetch: lambda o: b"\x13",
+    api.Tell: lambda o: struct.pack("<BHH", 16, ALL_PEERS if o.peer < 0 else o.peer, len(o.body)) + o.body,
+    api.Note: lambda o: text(17, o.text),
+    api.Wake: lambda o: struct.pack("<BdQ", 29, o.after / NS_PER_MS, o.token),
+}
+
+
+def write_order(order: api.Order) -> bytes:
+    return WRITERS[type(order)](order)
+
+
+def on_behalf(instance: int) -> bytes:
+    return struct.pack("<BI", 27, instance)
+
+
+def failure(cause: str) -> bytes:
+    return text(25, cause)
+
+
+def reply(body: bytes) -> bytes:
+    return U32.pack(U32.size + len(body)) + body
--- /dev/null
+++ b/ambershift/interface.py
@@ -0,0 +1,258 @@
+"""What a front tells the decision module and what the module orders: types only, no decision.
+
+Times are whole nanoseconds. Servers, proxies, zones and traffic groups are small indices that the
+front hands out; a zone of -1 means that none is known. A mask holds one bit for each traffic group.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class Phase(IntEnum):
+    """How the list shows a server."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Repeat(IntEnum):
+    """What may happen when a flow runs twice."""
+
+    RETRIABLE = 0
+    DEDUPED = 1
+    NON_RETRIABLE = 2
+
+
+class Again(IntEnum):
+    """When a proxy tries another server by itself."""
+
+    NEVER = 0
+    IF_NOT_RUN = 1
+    ONCE = 2
+    TWICE = 3
+
+
+class Group(NamedTuple):
+    """A traffic group: flows alike in budget, utility and what a repeat does."""
+
+    budget: int
+    expiry: int
+    utility: float
+    repeat: Repeat
+    dedup_everywhere: bool
+    dedup_window: int
+    own_zone: bool
+    writes: bool
+
+
+class Terms(NamedTuple):
+    """What a deployment grants and demands, as told to an instance at its start."""
+
+    zones: int
+    zone: int
+    position: int
+    instances: int
+    groups: tuple[Group, ...]
+    must_watch: bool
+    told_after: int
+    grace: int
+    only_draining_binds: bool
+    cold: int
+    cold_share: float
+    fall_multiple: float
+    fall_window: int
+    bare_limit: int
+    lines_per_s: float
+    head: float
+    waiting_limit: float
+    message_limit: int
+    message_span: int
+    way: int
+    way_most: int
+    report_period: int
+    levels: str
+    try_budgets: float
+    strikes: int
+    may_probe: bool
+    may_tell: bool
+    slices: int
+    single_owner: bool
+    in_hand: int
+    lease: int
+
+
+class Entry(NamedTuple):
+    """One server as the list shows it; `since` is 0 where its start lies long back."""
+
+    server: int
+    zone: int
+    phase: Phase
+    weight: float
+    since: int
+
+
+class Born(NamedTuple):
+    seed: int
+    terms: Terms
+
+
+class Listed(NamedTuple):
+    """The list, whole or only what changed in it; `cached` where it may be old."""
+
+    whole: bool
+    cached: bool
+    entries: tuple[Entry, ...]
+
+
+class ListFailed(NamedTuple):
+    pass
+
+
+class Joined(NamedTuple):
+    proxy: int
+    zone: int
+    rate: float
+    standing: bool
+
+
+class Left(NamedTuple):
+    proxy: int
+
+
+class Met(NamedTuple):
+    """What the proxies of a zone met at a server over a span that ended some time ago."""
+
+    zone: int
+    server: int
+    tries: int
+    bad: int
+    mean_time: int
+    span: int
+    loads: tuple[float, ...]
+
+
+class Usage(NamedTuple):
+    """Flows of a group that came to a proxy over a span, and those let in but left unanswered."""
+
+    proxy: int
+    group: int
+    came: int
+    unanswered: int
+    span: int
+
+
+class Probed(NamedTuple):
+    server: int
+    ok: bool
+    took: int
+    loads: tuple[float, ...]
+
+
+class Due(NamedTuple):
+    token: int
+
+
+class Applied(NamedTuple):
+    mark: int
+    took: int
+    proxy: int
+
+
+class Mail(NamedTuple):
+    sender: int
+    body: bytes
+
+
+class Given(NamedTuple):
+    slice: int
+
+
+class Taken(NamedTuple):
+    slice: int
+
+
+class Held(NamedTuple):
+    """A line that the store already holds for a slice just given."""
+
+    slice: int
+    server: int
+    weight: float
+
+
+class Heat(NamedTuple):
+    slice: int
+    group: int
+    came: int
+    unanswered: int
+    span: int
+
+
+Event = (Born | Listed | ListFailed | Joined | Left | Met | Usage | Probed | Due | Applied | Mail | Given
+         | Taken | Held | Heat)
+
+
+class Share(NamedTuple):
+    table: int
+    server: int
+    weight: float
+
+
+class Clear(NamedTuple):
+    table: int
+
+
+class Withdraw(NamedTuple):
+    """Shut a server out of all that joined proxies hold, or let it in again."""
+
+    server: int
+    out: bool
+
+
+class Level(NamedTuple):
+    table: int
+    mask: int
+    again: Again
+    allowance: float
+
+
+class Bind(NamedTuple):
+    proxy: int
+    table: int
+    mask: int
+
+
+class Mark(NamedTuple):
+    mark: int
+    everyone: bool
+
+
+class Probe(NamedTuple):
+    server: int
+
+
+class Watch(NamedTuple):
+    on: bool
+
+
+class Fetch(NamedTuple):
+    pass
+
+
+class Tell(NamedTuple):
+    peer: int
+    body: bytes
+
+
+class Note(NamedTuple):
+    text: str
+
+
+class Wake(NamedTuple):
+    after: int
+    token: int
+
+
+Order = (Share | Clear | Withdraw | Level | Bind | Mark | Probe | Watch | Fetch | Tell | Note | Wake)
