--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -161,7 +161,7 @@
         self.share: dict[int, float] = {}
         self.fallback = False
         self.heard = False
-        self.level, self.again = 1.0, api.Again.TWICE
+        self.level, self.again = 1.0, api.Again.IF_NOT_RUN
         self.queue, self.queue_at = 0.0, self.now
         self.token = 1
         self.orders.append(api.Wake(BEAT, self.token))
@@ -273,10 +273,10 @@
         bad_share = sum(one[1] for one in well) / tries
         took = sum(one[0] * one[2] for one in well) / tries
         busy = took > BUSY_TIME * self.budget or usual > SHARED_BAD
-        if busy:
-            self.again = api.Again.IF_NOT_RUN
-        elif took < CALM_TIME * self.budget and usual < SHARED_BAD / 2:
-            self.again = api.Again.TWICE
+        # A further try after a time-out runs the flow twice, so it must be paid for by a server that fails
+        # while its peers do well; with all busy it would feed the overload.
+        failing = max(shares.values(), default=0.0) > max(BAD_SHARE / 2, 3 * usual) or bool(self.ill)
+        self.again = api.Again.ONCE if failing and not busy else api.Again.IF_NOT_RUN
         if took > BUSY_TIME * self.budget or bad_share > SHARED_BAD and usual > SHARED_BAD / 2:
             self.level = max(LEVEL_LEAST, self.level * 0.9)
         elif took < CALM_TIME * self.budget:
