--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -34,12 +34,14 @@
 SPELL_MOST = 16 * SECOND
 TRIAL_PART = 0.1
 TRIAL_TRIES = 3
-COLD_STEP = 0.1
+COLD_STEP = 0.05
+COLD_MARGIN = 0.33
 
 CALM_TIME = 0.45
 BUSY_TIME = 0.7
 SHARED_BAD = 0.12
-LEVEL_LEAST = 0.3
+LEVEL_LEAST = 0.05
+LEVEL_RISE = 1.06
 
 
 class Chance:
@@ -133,7 +135,7 @@
         self.grace = terms.grace
         self.only_draining_binds = terms.only_draining_binds
         self.cold, self.cold_share = terms.cold, terms.cold_share
-        self.cold_safe = terms.fall_multiple
+        self.cold_safe = terms.fall_multiple * COLD_MARGIN
         self.drain_per_ns = terms.lines_per_s * SLOW_CHANNEL / SECOND
         self.head, self.queue_most = terms.head, terms.waiting_limit * QUEUE_PART
         self.message_limit = terms.message_limit or 1 << 30
@@ -160,7 +162,8 @@
         self.ill: dict[int, Illness] = {}
         self.share: dict[int, float] = {}
         self.fallback = False
-        self.heard = False
+        self.heard, self.good_share = False, 0.5
+        self.cut_at = self.now - self.settle
         self.level, self.again = 1.0, api.Again.IF_NOT_RUN
         self.queue, self.queue_at = 0.0, self.now
         self.token = 1
@@ -202,6 +205,9 @@
         if not server.since or not self.cold or self.now >= server.since + self.cold:
             return 1.0
         part = self.cold_share + (1 - self.cold_share) * (self.now - server.since) / self.cold
+        # Tries that fail come again, here and at clients: under overload a fair part can be several times
+        # the work that a cold server stands, so its part falls with the share of tries that end well.
+        part *= min(1.0, self.cold_safe * self.good_share)
         return max(COLD_STEP, int(part / COLD_STEP) * COLD_STEP)
 
     def usable(self) -> dict[int, float]:
@@ -266,21 +272,30 @@
                     else:
                         illness.spell = min(2 * illness.spell, SPELL_MOST)
                         illness.until = self.now + illness.spell
+        tries = sum(one[0] for one in seen.values())
+        self.good_share = 1 - sum(one[1] for one in seen.values()) / tries if tries else 0.5
         well = [one for index, one in seen.items() if index not in self.ill and one[0]]
         tries = sum(one[0] for one in well)
         if not tries:
             return
         bad_share = sum(one[1] for one in well) / tries
-        took = sum(one[0] * one[2] for one in well) / tries
+        took = median(one[2] for one in well)
         busy = took > BUSY_TIME * self.budget or usual > SHARED_BAD
         # A further try after a time-out runs the flow twice, so it must be paid for by a server that fails
         # while its peers do well; with all busy it would feed the overload.
         failing = max(shares.values(), default=0.0) > max(BAD_SHARE / 2, 3 * usual) or bool(self.ill)
         self.again = api.Again.ONCE if failing and not busy else api.Again.IF_NOT_RUN
-        if took > BUSY_TIME * self.budget or bad_share > SHARED_BAD and usual > SHARED_BAD / 2:
-            self.level = max(LEVEL_LEAST, self.level * 0.9)
-        elif took < CALM_TIME * self.budget:
-            self.level = min(1.0, self.level + 0.05)
+        self.set_level(took, usual)
+
+    def set_level(self, took: float, usual: float) -> None:
+        """Block early while most servers answer too late: work that comes too late is lost and blocks more."""
+        if took > CALM_TIME * self.budget or usual > SHARED_BAD:
+            # One cut for each round trip of order and report, else the same overload is counted twice.
+            if self.now >= self.cut_at + self.settle:
+                ratio = CALM_TIME * self.budget / took if took else 1.0
+                self.cut_at, self.level = self.now, max(LEVEL_LEAST, self.level * min(0.85, max(0.4, ratio)))
+        else:
+            self.level = min(1.0, self.level * LEVEL_RISE)
 
     # The design's ordinary path
 
