--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -37,11 +37,12 @@
 COLD_STEP = 0.05
 COLD_MARGIN = 0.33
 
-CALM_TIME = 0.45
-BUSY_TIME = 0.7
+CALM_TIME = 0.55
+LATE = 0.6
 SHARED_BAD = 0.12
 LEVEL_LEAST = 0.05
-LEVEL_RISE = 1.06
+LEVEL_RISE = 1.08
+LOAD_AIM = 0.9
 
 
 class Chance:
@@ -163,7 +164,8 @@
         self.share: dict[int, float] = {}
         self.fallback = False
         self.heard, self.good_share = False, 0.5
-        self.cut_at = self.now - self.settle
+        self.level_at = self.now - self.settle
+        self.delivered: deque[int] = deque(maxlen=60)
         self.level, self.again = 1.0, api.Again.IF_NOT_RUN
         self.queue, self.queue_at = 0.0, self.now
         self.token = 1
@@ -243,6 +245,8 @@
                 if server.phase == api.Phase.READY}
         shares = {index: bad / tries for index, (tries, bad, _) in seen.items() if tries >= EVIDENCE_TRIES}
         usual = median(shares.values()) if shares else 0.0
+        # Late answers tell of load, not of illness: a server put out for them only moves the load on.
+        shares = {index: share for index, share in shares.items() if seen[index][2] < LATE * self.budget}
         ready = len(seen)
         out = sum(1 for illness in self.ill.values() if not illness.cured)
         for index in sorted(shares, key=lambda index: (-shares[index], index)):
@@ -273,29 +277,31 @@
                         illness.spell = min(2 * illness.spell, SPELL_MOST)
                         illness.until = self.now + illness.spell
         tries = sum(one[0] for one in seen.values())
-        self.good_share = 1 - sum(one[1] for one in seen.values()) / tries if tries else 0.5
-        well = [one for index, one in seen.items() if index not in self.ill and one[0]]
-        tries = sum(one[0] for one in well)
         if not tries:
             return
-        bad_share = sum(one[1] for one in well) / tries
-        took = median(one[2] for one in well)
-        busy = took > BUSY_TIME * self.budget or usual > SHARED_BAD
+        good = tries - sum(one[1] for one in seen.values())
+        self.good_share = good / tries
+        took = median(one[2] for one in seen.values())
+        busy = took > CALM_TIME * self.budget or usual > SHARED_BAD
         # A further try after a time-out runs the flow twice, so it must be paid for by a server that fails
         # while its peers do well; with all busy it would feed the overload.
         failing = max(shares.values(), default=0.0) > max(BAD_SHARE / 2, 3 * usual) or bool(self.ill)
         self.again = api.Again.ONCE if failing and not busy else api.Again.IF_NOT_RUN
-        self.set_level(took, usual)
+        self.set_level(busy, took, tries, good)
 
-    def set_level(self, took: float, usual: float) -> None:
+    def set_level(self, busy: bool, took: float, tries: int, good: int) -> None:
         """Block early while most servers answer too late: work that comes too late is lost and blocks more."""
-        if took > CALM_TIME * self.budget or usual > SHARED_BAD:
-            # One cut for each round trip of order and report, else the same overload is counted twice.
-            if self.now >= self.cut_at + self.settle:
-                ratio = CALM_TIME * self.budget / took if took else 1.0
-                self.cut_at, self.level = self.now, max(LEVEL_LEAST, self.level * min(0.85, max(0.4, ratio)))
+        self.delivered.append(good)
+        # One step for each round trip of order and report, else the same overload is counted twice.
+        if self.now < self.level_at + self.settle or not busy and self.level == 1.0:
+            return
+        self.level_at = self.now
+        room = LOAD_AIM * max(self.delivered) / tries
+        if busy:
+            room *= min(1.0, CALM_TIME * self.budget / took if took else 1.0)
+            self.level = max(LEVEL_LEAST, self.level * min(0.95, max(0.4, room)))
         else:
-            self.level = min(1.0, self.level * LEVEL_RISE)
+            self.level = min(1.0, self.level * min(2.0, max(LEVEL_RISE, room)))
 
     # The design's ordinary path
 
