--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -39,6 +39,9 @@
 
 CALM_TIME = 0.55
 LATE = 0.6
+LATE_PEERS = 2.0
+EASED_PART = 0.5
+EASE_SPELL = 60 * SECOND
 SHARED_BAD = 0.12
 LEVEL_LEAST = 0.05
 LEVEL_RISE = 1.08
@@ -161,6 +164,7 @@
         self.laid_levels: dict[int, list[tuple[int, api.Again, float]]] = {}
         self.shut: set[int] = set()
         self.ill: dict[int, Illness] = {}
+        self.eased: dict[int, tuple[int, int]] = {}
         self.share: dict[int, float] = {}
         self.fallback = False
         self.heard, self.good_share = False, 0.5
@@ -219,10 +223,11 @@
             if server.phase != api.Phase.READY or server.weight <= 0:
                 continue
             illness = self.ill.get(index)
+            part = self.warmth(server) * (EASED_PART if index in self.eased else 1.0)
             if illness is None or illness.cured:
-                parts[index] = self.warmth(server)
+                parts[index] = part
             elif illness.trial:
-                parts[index] = TRIAL_PART
+                parts[index] = min(part, TRIAL_PART)
         return parts
 
     def joined(self) -> list[tuple[int, Proxy]]:
@@ -248,6 +253,7 @@
         # Late answers tell of load, not of illness: a server put out for them only moves the load on.
         shares = {index: share for index, share in shares.items() if seen[index][2] < LATE * self.budget}
         ready = len(seen)
+        self.ease(seen)
         out = sum(1 for illness in self.ill.values() if not illness.cured)
         for index in sorted(shares, key=lambda index: (-shares[index], index)):
             illness = self.ill.get(index)
@@ -289,6 +295,21 @@
         self.again = api.Again.ONCE if failing and not busy else api.Again.IF_NOT_RUN
         self.set_level(busy, took, tries, good)
 
+    def ease(self, seen: dict[int, tuple[int, int, float]]) -> None:
+        """Halve the line of a server that answers too late while its peers don't: it is weaker than listed.
+
+        It acts on a symptom, so it covers a server slowed by a neighbour as well; with many slow it stops,
+        for then all are loaded and halving one part only loads the rest.
+        """
+        usual = median([one[2] for one in seen.values() if one[0]] or [0.0])
+        for index, (tries, _, took) in seen.items():
+            until, spell = self.eased.get(index, (0, EASE_SPELL))
+            late = tries >= 2 * EVIDENCE_TRIES and took > LATE * self.budget and took > LATE_PEERS * usual
+            if late and index not in self.eased and len(self.eased) < OUT_MOST * len(seen):
+                self.eased[index] = self.now + spell, spell
+            elif until and self.now >= until:
+                del self.eased[index]
+
     def set_level(self, busy: bool, took: float, tries: int, good: int) -> None:
         """Block early while most servers answer too late: work that comes too late is lost and blocks more."""
         self.delivered.append(good)
@@ -350,20 +371,19 @@
         self.fallback = worst > (OVERLOAD_CALM if self.fallback else OVERLOAD_LIMIT)
         return lines
 
-    def plan(self) -> tuple[dict[int, dict[int, float]], bool]:
+    def plan(self) -> dict[int, dict[int, float]]:
         parts = self.usable()
         shares = self.zone_shares()
         if not parts or not shares:
-            return {}, True
+            return {}
         weigh = {index: self.servers[index].weight * part for index, part in parts.items()}
-        tables = {ALL: weigh}
         lines = self.deal(parts, shares)
         zoneless = -1 in shares or any(self.servers[index].zone < 0 for index in parts)
         every = self.fallback or zoneless or len(parts) < self.zones
+        tables = {ALL: weigh} if every or not all(lines.values()) else {}
         if not every:
-            for zone, indices in lines.items():
-                tables[zone] = {index: weigh[index] for index in indices}
-        return tables, every
+            tables |= {zone: {index: weigh[index] for index in lines[zone]} for zone in lines if lines[zone]}
+        return tables
 
     # What is sent
 
@@ -378,7 +398,7 @@
         self.queue_at = self.now
         self.touched: set[int] = set()
         self.withdraw()
-        tables, every = self.plan()
+        tables = self.plan()
         for table in tables:
             self.lay(table, tables[table])
         for index in list(self.shut):
@@ -386,7 +406,7 @@
             if ready and self.afford([proxy for proxy, _ in self.joined()], 1, True):
                 self.shut.discard(index)
                 self.orders.append(api.Withdraw(index, False))
-        self.bind(every)
+        self.bind(tables)
 
     def number(self, table: int) -> int:
         return self.zones if table == ALL else table
@@ -459,10 +479,10 @@
                     result.append((mask, again, level if yields else 1.0))
         return result
 
-    def bind(self, every: bool) -> None:
+    def bind(self, tables: dict[int, dict[int, float]]) -> None:
         """Worst off first: proxies with no table of ours, then those whose table has changed."""
         for index, proxy in sorted(self.joined(), key=lambda one: (one[1].table is not None, one[0])):
-            table = ALL if every or not self.laid.get(proxy.zone) else proxy.zone
+            table = proxy.zone if proxy.zone in tables else ALL
             lines = self.laid.get(table, {})
             if proxy.table == table or not any(line not in self.shut for line in lines):
                 continue
