--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -36,6 +36,8 @@
 TRIAL_TRIES = 3
 COLD_STEP = 0.05
 COLD_MARGIN = 0.33
+COLD_WARY = 0.4
+GOOD_SHARE = 0.85
 
 CALM_TIME = 0.55
 LATE = 0.6
@@ -144,6 +146,7 @@
         self.head, self.queue_most = terms.head, terms.waiting_limit * QUEUE_PART
         self.message_limit = terms.message_limit or 1 << 30
         self.message_span = terms.message_span
+        self.fresh = 5 * terms.report_period // 4
         self.settle = terms.way + 2 * terms.report_period
         self.budget = min(group.budget for group in terms.groups)
         self.levels_heeded = terms.levels == "fraction"
@@ -211,9 +214,10 @@
         if not server.since or not self.cold or self.now >= server.since + self.cold:
             return 1.0
         part = self.cold_share + (1 - self.cold_share) * (self.now - server.since) / self.cold
-        # Tries that fail come again, here and at clients: under overload a fair part can be several times
-        # the work that a cold server stands, so its part falls with the share of tries that end well.
-        part *= min(1.0, self.cold_safe * self.good_share)
+        # Tries that fail come again, here and at clients, and look for whoever still takes work: in an
+        # overload, or while one may tip over again, a fair part can be many times what a cold server stands.
+        if self.level < 1.0 or self.good_share < GOOD_SHARE:
+            part *= COLD_WARY * min(1.0, self.cold_safe * self.good_share)
         return max(COLD_STEP, int(part / COLD_STEP) * COLD_STEP)
 
     def usable(self) -> dict[int, float]:
@@ -282,17 +286,19 @@
                     else:
                         illness.spell = min(2 * illness.spell, SPELL_MOST)
                         illness.until = self.now + illness.spell
-        tries = sum(one[0] for one in seen.values())
+        fresh = {index: self.recent(self.servers[index], self.now - self.fresh) for index in seen}
+        tries = sum(one[0] for one in fresh.values())
         if not tries:
             return
-        good = tries - sum(one[1] for one in seen.values())
+        good = tries - sum(one[1] for one in fresh.values())
         self.good_share = good / tries
-        took = median(one[2] for one in seen.values())
+        took = median([one[2] for one in fresh.values() if one[0]])
         busy = took > CALM_TIME * self.budget or usual > SHARED_BAD
         # A further try after a time-out runs the flow twice, so it must be paid for by a server that fails
-        # while its peers do well; with all busy it would feed the overload.
+        # while its peers do well; with all busy it would feed the overload, and so would one after a refusal.
         failing = max(shares.values(), default=0.0) > max(BAD_SHARE / 2, 3 * usual) or bool(self.ill)
-        self.again = api.Again.ONCE if failing and not busy else api.Again.IF_NOT_RUN
+        calm = api.Again.ONCE if failing else api.Again.IF_NOT_RUN
+        self.again = api.Again.NEVER if busy else calm
         self.set_level(busy, took, tries, good)
 
     def ease(self, seen: dict[int, tuple[int, int, float]]) -> None:
@@ -312,12 +318,13 @@
 
     def set_level(self, busy: bool, took: float, tries: int, good: int) -> None:
         """Block early while most servers answer too late: work that comes too late is lost and blocks more."""
-        self.delivered.append(good)
+        room = sum(self.servers[index].weight * part for index, part in self.usable().items()) or 1.0
+        self.delivered.append(good / room)
         # One step for each round trip of order and report, else the same overload is counted twice.
         if self.now < self.level_at + self.settle or not busy and self.level == 1.0:
             return
         self.level_at = self.now
-        room = LOAD_AIM * max(self.delivered) / tries
+        room *= LOAD_AIM * max(self.delivered) / tries
         if busy:
             room *= min(1.0, CALM_TIME * self.budget / took if took else 1.0)
             self.level = max(LEVEL_LEAST, self.level * min(0.95, max(0.4, room)))
@@ -472,7 +479,7 @@
     def levels(self) -> list[tuple[int, api.Again, float]]:
         result = []
         level = round(self.level, 2) if self.levels_heeded else 1.0
-        for safe, again in ((True, self.again), (False, api.Again.IF_NOT_RUN)):
+        for safe, again in ((True, self.again), (False, min(self.again, api.Again.IF_NOT_RUN))):
             for yields in (True, False):
                 mask = self.masks[safe] & (self.yielding if yields else self.everyone & ~self.yielding)
                 if mask:
