--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -29,6 +29,7 @@
 EVIDENCE = 5 * SECOND // 2
 EVIDENCE_TRIES = 5
 BAD_SHARE = 0.3
+CUT_SHARE = 0.6
 OUT_MOST = 0.34
 SPELL = 4 * SECOND
 SPELL_MOST = 16 * SECOND
@@ -167,12 +168,13 @@
         self.laid_levels: dict[int, list[tuple[int, api.Again, float]]] = {}
         self.shut: set[int] = set()
         self.ill: dict[int, Illness] = {}
+        self.cut: dict[tuple[int, int], Illness] = {}
         self.eased: dict[int, tuple[int, int]] = {}
         self.share: dict[int, float] = {}
         self.fallback = False
         self.heard, self.good_share = False, 0.5
         self.level_at = self.now - self.settle
-        self.delivered: deque[int] = deque(maxlen=60)
+        self.delivered: deque[float] = deque(maxlen=60)
         self.level, self.again = 1.0, api.Again.IF_NOT_RUN
         self.queue, self.queue_at = 0.0, self.now
         self.token = 1
@@ -237,11 +239,12 @@
     def joined(self) -> list[tuple[int, Proxy]]:
         return [(index, proxy) for index, proxy in self.proxies.items() if proxy.joined]
 
-    def recent(self, server: Server, since: int) -> tuple[int, int, float]:
+    def recent(self, server: Server, since: int, only: int | None = None) -> tuple[int, int, float]:
+        """Tries, bad ones and mean time of the good; tries across a cut tell nothing of the server."""
         tries = bad = 0
         took = 0.0
         for at, met in zip(server.met_at, server.met, strict=True):
-            if at >= since:
+            if at >= since and (met.zone == only if only is not None else (met.zone, server.zone) not in self.cut):
                 tries += met.tries
                 bad += met.bad
                 took += met.mean_time * (met.tries - met.bad)
@@ -250,6 +253,7 @@
     def judge(self) -> None:
         """Keep out servers that fail far more than their peers; all failing alike is overload."""
         since = self.now - EVIDENCE
+        self.find_cuts()
         seen = {index: self.recent(server, since) for index, server in self.servers.items()
                 if server.phase == api.Phase.READY}
         shares = {index: bad / tries for index, (tries, bad, _) in seen.items() if tries >= EVIDENCE_TRIES}
@@ -301,6 +305,38 @@
         self.again = api.Again.NEVER if busy else calm
         self.set_level(busy, took, tries, good)
 
+    def across(self, pair: tuple[int, int], since: int) -> tuple[int, int]:
+        """Tries and bad ones from the proxies of one zone to the ready servers of another."""
+        met = [self.recent(server, since, pair[0]) for server in self.servers.values()
+               if server.zone == pair[1] and server.phase == api.Phase.READY]
+        return sum(one[0] for one in met), sum(one[1] for one in met)
+
+    def find_cuts(self) -> None:
+        """Find zones that can't reach another zone's servers, while tries elsewhere go well.
+
+        It answers any trouble between two zones, a lost zone too; bad everywhere is overload and no cut.
+        """
+        zones = sorted({proxy.zone for _, proxy in self.joined()})
+        pairs = [(near, far) for near in zones for far in range(self.zones)]
+        met = {pair: self.across(pair, self.now - EVIDENCE) for pair in pairs}
+        tries, bad = sum(one[0] for one in met.values()), sum(one[1] for one in met.values())
+        for pair, (some, failed) in met.items():
+            elsewhere = (bad - failed) / (tries - some) if tries > some else 1.0
+            known = pair in self.cut
+            if pair[0] != pair[1] and not known and some >= EVIDENCE_TRIES and failed > CUT_SHARE * some and (
+                    elsewhere < CUT_SHARE / 2):
+                self.cut[pair] = Illness(self.now + SPELL)
+        for pair, illness in list(self.cut.items()):
+            if not illness.trial and self.now >= illness.until:
+                illness.trial, illness.until = True, self.now
+            elif illness.trial:
+                some, failed = self.across(pair, illness.until + self.settle)
+                if some >= TRIAL_TRIES and failed > CUT_SHARE * some:
+                    illness.spell = min(2 * illness.spell, SPELL_MOST)
+                    illness.trial, illness.until = False, self.now + illness.spell
+                elif some >= TRIAL_TRIES or pair[0] not in zones:
+                    del self.cut[pair]
+
     def ease(self, seen: dict[int, tuple[int, int, float]]) -> None:
         """Halve the line of a server that answers too late while its peers don't: it is weaker than listed.
 
@@ -384,13 +420,27 @@
         if not parts or not shares:
             return {}
         weigh = {index: self.servers[index].weight * part for index, part in parts.items()}
-        lines = self.deal(parts, shares)
-        zoneless = -1 in shares or any(self.servers[index].zone < 0 for index in parts)
+        # A zone that is cut off has a table of all that it reaches; the others are dealt without it.
+        apart = {zone: self.reach(zone, weigh) for zone in shares if any(near == zone for near, _ in self.cut)}
+        apart = {zone: lines for zone, lines in apart.items() if lines}
+        near = {zone: share for zone, share in shares.items() if zone not in apart}
+        if not near:
+            return apart
+        lines = self.deal(parts, {zone: share / sum(near.values()) for zone, share in near.items()})
+        zoneless = -1 in near or any(self.servers[index].zone < 0 for index in parts)
         every = self.fallback or zoneless or len(parts) < self.zones
         tables = {ALL: weigh} if every or not all(lines.values()) else {}
         if not every:
             tables |= {zone: {index: weigh[index] for index in lines[zone]} for zone in lines if lines[zone]}
-        return tables
+        return tables | apart
+
+    def reach(self, zone: int, weigh: dict[int, float]) -> dict[int, float]:
+        lines = {}
+        for index, weight in weigh.items():
+            illness = self.cut.get((zone, self.servers[index].zone))
+            if illness is None or illness.trial:
+                lines[index] = weight * (1.0 if illness is None else TRIAL_PART)
+        return lines
 
     # What is sent
 
