--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -30,6 +30,7 @@
 EVIDENCE_TRIES = 5
 BAD_SHARE = 0.3
 CUT_SHARE = 0.6
+CUT_SERVERS = 2
 OUT_MOST = 0.34
 SPELL = 4 * SECOND
 SPELL_MOST = 16 * SECOND
@@ -305,11 +306,15 @@
         self.again = api.Again.NEVER if busy else calm
         self.set_level(busy, took, tries, good)
 
-    def across(self, pair: tuple[int, int], since: int) -> tuple[int, int]:
-        """Tries and bad ones from the proxies of one zone to the ready servers of another."""
-        met = [self.recent(server, since, pair[0]) for server in self.servers.values()
-               if server.zone == pair[1] and server.phase == api.Phase.READY]
-        return sum(one[0] for one in met), sum(one[1] for one in met)
+    def across(self, pair: tuple[int, int], since: int) -> tuple[int, int, int]:
+        """Tries, bad ones and servers that fail, from one zone's proxies to another's ready servers.
+
+        Servers known as ill are left out: one borrowed server that died looked like a cut of its zone.
+        """
+        met = [self.recent(server, since, pair[0]) for index, server in self.servers.items()
+               if server.zone == pair[1] and server.phase == api.Phase.READY and index not in self.ill]
+        failing = sum(1 for tries, bad, _ in met if tries and bad > CUT_SHARE * tries)
+        return sum(one[0] for one in met), sum(one[1] for one in met), failing
 
     def find_cuts(self) -> None:
         """Find zones that can't reach another zone's servers, while tries elsewhere go well.
@@ -320,17 +325,17 @@
         pairs = [(near, far) for near in zones for far in range(self.zones)]
         met = {pair: self.across(pair, self.now - EVIDENCE) for pair in pairs}
         tries, bad = sum(one[0] for one in met.values()), sum(one[1] for one in met.values())
-        for pair, (some, failed) in met.items():
+        for pair, (some, failed, failing) in met.items():
             elsewhere = (bad - failed) / (tries - some) if tries > some else 1.0
             known = pair in self.cut
-            if pair[0] != pair[1] and not known and some >= EVIDENCE_TRIES and failed > CUT_SHARE * some and (
-                    elsewhere < CUT_SHARE / 2):
+            if pair[0] != pair[1] and not known and failing >= CUT_SERVERS and some >= EVIDENCE_TRIES and (
+                    failed > CUT_SHARE * some and elsewhere < CUT_SHARE / 2):
                 self.cut[pair] = Illness(self.now + SPELL)
         for pair, illness in list(self.cut.items()):
             if not illness.trial and self.now >= illness.until:
                 illness.trial, illness.until = True, self.now
             elif illness.trial:
-                some, failed = self.across(pair, illness.until + self.settle)
+                some, failed, _ = self.across(pair, illness.until + self.settle)
                 if some >= TRIAL_TRIES and failed > CUT_SHARE * some:
                     illness.spell = min(2 * illness.spell, SPELL_MOST)
                     illness.trial, illness.until = False, self.now + illness.spell
