--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -299,10 +299,11 @@
         self.good_share = good / tries
         took = median([one[2] for one in fresh.values() if one[0]])
         busy = took > CALM_TIME * self.budget or usual > SHARED_BAD
-        # A further try after a time-out runs the flow twice, so it must be paid for by a server that fails
-        # while its peers do well; with all busy it would feed the overload, and so would one after a refusal.
-        failing = max(shares.values(), default=0.0) > max(BAD_SHARE / 2, 3 * usual) or bool(self.ill)
-        calm = api.Again.ONCE if failing else api.Again.IF_NOT_RUN
+        # A further try after a time-out runs the flow twice, so most failures must come from servers that
+        # fail while their peers do well; with all busy it would feed the overload, as one after a refusal.
+        failing = sum(one[1] for index, one in fresh.items() if index in self.ill or (
+            shares.get(index, 0.0) > max(BAD_SHARE / 2, 3 * usual)))
+        calm = api.Again.ONCE if 2 * failing > tries - good else api.Again.IF_NOT_RUN
         self.again = api.Again.NEVER if busy else calm
         self.set_level(busy, took, tries, good)
 
