--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -8,24 +8,26 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Sequence
 from statistics import median
 
 from ambershift import interface as api
 
 SECOND = 1_000_000_000
+# Reports can wait for the next beat; these can't.
+PROMPT = (api.Born, api.Listed, api.Joined, api.Due, api.Given)
 BEAT = SECOND // 10
 TRAFFIC_WINDOW = 30 * SECOND
 SHARE_MOVE = 0.1
 OVERLOAD_LIMIT = 0.2
 OVERLOAD_CALM = 0.15
-ALL = -1
 
 # Half of the limit is kept free at all times: a slow channel and a burst of withdrawals must both fit.
 QUEUE_PART = 0.4
 SLOW_CHANNEL = 0.6
 ORDINARY_MESSAGES = 0.6
 
+SAMPLES = 40
 EVIDENCE = 5 * SECOND // 2
 EVIDENCE_TRIES = 5
 BAD_SHARE = 0.3
@@ -46,6 +48,8 @@
 LATE_PEERS = 2.0
 EASED_PART = 0.5
 EASE_SPELL = 60 * SECOND
+EASE_EVIDENCE = 5 * SECOND
+EASE_TRIES = 10
 SHARED_BAD = 0.12
 LEVEL_LEAST = 0.05
 LEVEL_RISE = 1.08
@@ -65,12 +69,8 @@
 
 class Server:
     def __init__(self, entry: api.Entry) -> None:
-        self.update(entry)
-        self.met: deque[api.Met] = deque(maxlen=40)
-        self.met_at: deque[int] = deque(maxlen=40)
-
-    def update(self, entry: api.Entry) -> None:
-        self.zone, self.phase, self.weight, self.since = entry.zone, entry.phase, entry.weight, entry.since
+        self.entry = entry
+        self.met: deque[tuple[int, api.Met]] = deque(maxlen=SAMPLES)
 
 
 class Proxy:
@@ -82,95 +82,60 @@
         self.messages: deque[int] = deque()
 
 
-class Illness:
-    """A server kept out: until when, how long its next spell is, and whether a trial runs."""
+class Spell:
+    """Something kept out for a while, then tried with a small part; each relapse doubles the next spell."""
+
+    def __init__(self, now: int) -> None:
+        self.length, self.until, self.trial = SPELL, now + SPELL, False
 
-    def __init__(self, until: int) -> None:
-        self.until, self.spell, self.trial, self.cured = until, SPELL, False, 0
+    def over(self, now: int, tries: int, bad: int, bound: float) -> bool:
+        """Whether it may come back, by what was met since its trial began."""
+        if not self.trial and now >= self.until:
+            self.trial, self.until = True, now
+        elif self.trial and tries >= TRIAL_TRIES:
+            if bad < bound * tries:
+                return True
+            self.length = min(2 * self.length, SPELL_MOST)
+            self.trial, self.until = False, now + self.length
+        return False
 
 
 class TableManager:
     """One controller's decisions."""
 
-    watch_gap: int
-    watch_gap_most: int
-    token: int
-
-    def step(self, now: int, events: Iterable[api.Event]) -> list[api.Order]:
-        self.now, self.orders, turn = now, list[api.Order](), False
-        for event in events:
-            match event:
-                case api.Born():
-                    self.start(event.seed, event.terms)
-                    turn = True
-                case api.Listed():
-                    self.hear_list(event)
-                    turn = True
-                case api.ListFailed():
-                    # Spacing with chance: all instances lose the list at once and would storm it together.
-                    self.watching = False
-                    self.watch_at = now + int(self.watch_gap * (0.5 + self.chance.part()))
-                    self.watch_gap = min(2 * self.watch_gap, self.watch_gap_most)
-                case api.Joined():
-                    self.join(event)
-                    turn = True
-                case api.Left():
-                    if event.proxy in self.proxies:
-                        self.proxies[event.proxy].joined = False
-                case api.Met():
-                    if event.server in self.servers:
-                        self.servers[event.server].met.append(event)
-                        self.servers[event.server].met_at.append(now)
-                        self.heard = True
-                case api.Usage():
-                    if event.proxy in self.proxies:
-                        self.proxies[event.proxy].usage.append((now, event.came))
-                case api.Due() if event.token == self.token:
-                    self.token += 1
-                    self.orders.append(api.Wake(BEAT, self.token))
-                    turn = True
-                case api.Given() | api.Taken() | api.Held():
-                    pass
-        if turn:
-            self.turn()
-        return self.orders
-
     def start(self, seed: int, terms: api.Terms) -> None:
         self.chance = Chance(seed)
         self.zones = terms.zones
-        self.must_watch, self.watching, self.watch_at = terms.must_watch, False, self.now
+        self.watch_at: int | None = self.now if terms.must_watch else None
         self.watch_gap, self.watch_gap_most = SECOND, terms.told_after // 3
-        self.grace = terms.grace
         self.only_draining_binds = terms.only_draining_binds
         self.cold, self.cold_share = terms.cold, terms.cold_share
         self.cold_safe = terms.fall_multiple * COLD_MARGIN
         self.drain_per_ns = terms.lines_per_s * SLOW_CHANNEL / SECOND
         self.head, self.queue_most = terms.head, terms.waiting_limit * QUEUE_PART
-        self.message_limit = terms.message_limit or 1 << 30
-        self.message_span = terms.message_span
+        self.message_limit, self.message_span = terms.message_limit or 1 << 30, terms.message_span
         self.fresh = 5 * terms.report_period // 4
         self.settle = terms.way + 2 * terms.report_period
         self.budget = min(group.budget for group in terms.groups)
         self.levels_heeded = terms.levels == "fraction"
+        # Groups alike in whether they may run twice and whether they yield in an overload share a mask.
+        # Work isn't told; the latency budget stands in for it, so those of less utility for it yield.
         density = [group.utility / group.budget for group in terms.groups]
-        best = max(density)
-        self.masks = {True: 0, False: 0}
-        self.yielding = 0
+        kinds: dict[tuple[bool, bool], int] = {}
         for at, group in enumerate(terms.groups):
             lasting = group.dedup_everywhere and group.dedup_window >= group.expiry
             safe = group.repeat == api.Repeat.RETRIABLE or group.repeat == api.Repeat.DEDUPED and lasting
-            self.masks[safe] |= 1 << at
-            if density[at] < best:
-                self.yielding |= 1 << at
-        self.everyone = (1 << len(terms.groups)) - 1
+            kind = safe, density[at] < max(density)
+            kinds[kind] = kinds.get(kind, 0) | 1 << at
+        self.masks = {mask: kind for kind, mask in kinds.items()}
         self.servers: dict[int, Server] = {}
         self.proxies: dict[int, Proxy] = {}
         self.laid: dict[int, dict[int, float]] = {}
-        self.laid_levels: dict[int, list[tuple[int, api.Again, float]]] = {}
+        self.laid_levels: dict[int, dict[int, tuple[api.Again, float]]] = {}
         self.shut: set[int] = set()
-        self.ill: dict[int, Illness] = {}
-        self.cut: dict[tuple[int, int], Illness] = {}
-        self.eased: dict[int, tuple[int, int]] = {}
+        self.ill: dict[int, Spell] = {}
+        self.cut: dict[tuple[int, int], Spell] = {}
+        self.eased: dict[int, int] = {}
         self.share: dict[int, float] = {}
         self.fallback = False
         self.heard, self.good_share = False, 0.5
@@ -178,9 +143,52 @@
         self.delivered: deque[float] = deque(maxlen=60)
         self.level, self.again = 1.0, api.Again.IF_NOT_RUN
         self.queue, self.queue_at = 0.0, self.now
+        self.held: dict[int, dict[int, float]] = {}
+        self.stopped: dict[int, int] = {}
+        self.sliced, self.single_owner = terms.slices > 0, terms.single_owner
+        # After this long without our leave no proxy writes to an owner and none has a write in hand there.
+        self.handover = terms.in_hand + max(terms.lease, terms.way_most) + SECOND
         self.token = 1
         self.orders.append(api.Wake(BEAT, self.token))
 
+    def step(self, now: int, events: Sequence[api.Event]) -> list[api.Order]:
+        self.now, self.orders = now, list[api.Order]()
+        for event in events:
+            match event:
+                case api.Born():
+                    self.start(event.seed, event.terms)
+                case api.Listed():
+                    self.hear_list(event)
+                case api.ListFailed():
+                    # Spacing with chance: all instances lose the list at once and would storm it together.
+                    self.watch_at = now + int(self.watch_gap * (0.5 + self.chance.part()))
+                    self.watch_gap = min(2 * self.watch_gap, self.watch_gap_most)
+                case api.Joined():
+                    self.join(event)
+                case api.Left():
+                    if event.proxy in self.proxies:
+                        self.proxies[event.proxy].joined = False
+                case api.Met():
+                    if event.server in self.servers:
+                        self.servers[event.server].met.append((now, event))
+                        self.heard = True
+                case api.Usage():
+                    if event.proxy in self.proxies:
+                        self.proxies[event.proxy].usage.append((now, event.came))
+                case api.Due() if event.token == self.token:
+                    self.token += 1
+                    self.orders.append(api.Wake(BEAT, self.token))
+                case api.Given():
+                    self.held[event.slice] = {}
+                case api.Taken():
+                    self.held.pop(event.slice, None)
+                    self.stopped.pop(event.slice, None)
+                case api.Held():
+                    self.held.setdefault(event.slice, {})[event.server] = event.weight
+        if any(isinstance(event, PROMPT) for event in events):
+            self.turn()
+        return self.orders
+
     def hear_list(self, event: api.Listed) -> None:
         if not event.cached:
             self.watch_gap = SECOND
@@ -188,35 +196,33 @@
             listed = {entry.server for entry in event.entries}
             for index, server in self.servers.items():
                 if index not in listed:
-                    server.phase = api.Phase.GONE
+                    server.entry = server.entry._replace(phase=api.Phase.GONE)
         for entry in event.entries:
             known = self.servers.get(entry.server)
             if known is None:
                 self.servers[entry.server] = Server(entry)
                 continue
-            if entry.since != known.since:
+            if entry.since != known.entry.since:
                 # A new start: what the old process did wrong says nothing about the new one.
                 self.ill.pop(entry.server, None)
                 known.met.clear()
-                known.met_at.clear()
-            known.update(entry)
+            known.entry = entry
 
     def join(self, event: api.Joined) -> None:
         known = self.proxies.get(event.proxy)
         if known is None:
-            self.proxies[event.proxy] = Proxy(event.zone)
-            return
+            known = self.proxies[event.proxy] = Proxy(event.zone)
         # A new stream knows none of our orders, also when the old one's end was never told.
         known.zone, known.joined, known.table = event.zone, True, None
         known.messages.clear()
 
     # What is seen
 
-    def warmth(self, server: Server) -> float:
+    def warmth(self, since: int) -> float:
         """The part of itself that a server surely is by now, in steps so that few lines change."""
-        if not server.since or not self.cold or self.now >= server.since + self.cold:
+        if not since or not self.cold or self.now >= since + self.cold:
             return 1.0
-        part = self.cold_share + (1 - self.cold_share) * (self.now - server.since) / self.cold
+        part = self.cold_share + (1 - self.cold_share) * (self.now - since) / self.cold
         # Tries that fail come again, here and at clients, and look for whoever still takes work: in an
         # overload, or while one may tip over again, a fair part can be many times what a cold server stands.
         if self.level < 1.0 or self.good_share < GOOD_SHARE:
@@ -226,17 +232,17 @@
     def usable(self) -> dict[int, float]:
         """Ready servers and the part of each that counts: cold ones and those on trial count in part."""
         parts = {}
-        for index, server in self.servers.items():
-            if server.phase != api.Phase.READY or server.weight <= 0:
-                continue
-            illness = self.ill.get(index)
-            part = self.warmth(server) * (EASED_PART if index in self.eased else 1.0)
-            if illness is None or illness.cured:
-                parts[index] = part
-            elif illness.trial:
-                parts[index] = min(part, TRIAL_PART)
+        for index, server in self.ready():
+            spell = self.ill.get(index)
+            part = self.warmth(server.entry.since) * (EASED_PART if index in self.eased else 1.0)
+            if spell is None or spell.trial:
+                parts[index] = min(part, TRIAL_PART) if spell else part
         return parts
 
+    def ready(self) -> list[tuple[int, Server]]:
+        return [(index, server) for index, server in self.servers.items()
+                if server.entry.phase == api.Phase.READY and server.entry.weight > 0]
+
     def joined(self) -> list[tuple[int, Proxy]]:
         return [(index, proxy) for index, proxy in self.proxies.items() if proxy.joined]
 
@@ -244,8 +250,9 @@
         """Tries, bad ones and mean time of the good; tries across a cut tell nothing of the server."""
         tries = bad = 0
         took = 0.0
-        for at, met in zip(server.met_at, server.met, strict=True):
-            if at >= since and (met.zone == only if only is not None else (met.zone, server.zone) not in self.cut):
+        for at, met in server.met:
+            counts = met.zone == only if only is not None else (met.zone, server.entry.zone) not in self.cut
+            if at >= since and counts:
                 tries += met.tries
                 bad += met.bad
                 took += met.mean_time * (met.tries - met.bad)
@@ -255,43 +262,24 @@
         """Keep out servers that fail far more than their peers; all failing alike is overload."""
         since = self.now - EVIDENCE
         self.find_cuts()
-        seen = {index: self.recent(server, since) for index, server in self.servers.items()
-                if server.phase == api.Phase.READY}
+        seen = {index: self.recent(server, since) for index, server in self.ready()}
         shares = {index: bad / tries for index, (tries, bad, _) in seen.items() if tries >= EVIDENCE_TRIES}
         usual = median(shares.values()) if shares else 0.0
         # Late answers tell of load, not of illness: a server put out for them only moves the load on.
         shares = {index: share for index, share in shares.items() if seen[index][2] < LATE * self.budget}
-        ready = len(seen)
-        self.ease(seen)
-        out = sum(1 for illness in self.ill.values() if not illness.cured)
+        self.ease()
+        bound = max(BAD_SHARE, 3 * usual)
         for index in sorted(shares, key=lambda index: (-shares[index], index)):
-            illness = self.ill.get(index)
-            if illness and not illness.cured or shares[index] < max(BAD_SHARE, 3 * usual):
-                continue
-            if out + 1 > OUT_MOST * ready or illness and self.now < illness.cured + self.settle:
-                continue
-            if illness is None:
-                illness = self.ill[index] = Illness(0)
-            else:
-                illness.spell = min(2 * illness.spell, SPELL_MOST)
-            illness.cured, illness.trial, illness.until = 0, False, self.now + illness.spell
-            out += 1
-        for index, illness in list(self.ill.items()):
-            if illness.cured:
-                if self.now > illness.cured + 2 * illness.spell:
-                    del self.ill[index]
-            elif not illness.trial and self.now >= illness.until:
-                illness.trial, illness.until = True, self.now
-            elif illness.trial and index in seen:
-                tries, bad, _ = self.recent(self.servers[index], illness.until + self.settle)
-                if tries >= TRIAL_TRIES:
-                    illness.trial = False
-                    if bad / tries < max(BAD_SHARE, 3 * usual):
-                        illness.cured = self.now
-                    else:
-                        illness.spell = min(2 * illness.spell, SPELL_MOST)
-                        illness.until = self.now + illness.spell
-        fresh = {index: self.recent(self.servers[index], self.now - self.fresh) for index in seen}
+            room = len(self.ill) + 1 <= OUT_MOST * len(seen)
+            if index not in self.ill and shares[index] >= bound and room:
+                self.ill[index] = Spell(self.now)
+        for index, spell in list(self.ill.items()):
+            tries, bad, _ = self.recent(self.servers[index], spell.until + self.settle)
+            if spell.over(self.now, tries, bad, bound):
+                del self.ill[index]
+                # What it did before the trial must not be held against it again.
+                self.servers[index].met.clear()
+        fresh = {index: self.recent(server, self.now - self.fresh) for index, server in self.ready()}
         tries = sum(one[0] for one in fresh.values())
         if not tries:
             return
@@ -308,12 +296,12 @@
         self.set_level(busy, took, tries, good)
 
     def across(self, pair: tuple[int, int], since: int) -> tuple[int, int, int]:
-        """Tries, bad ones and servers that fail, from one zone's proxies to another's ready servers.
+        """Tries, bad ones and servers that fail, from one zone's proxies to another's servers.
 
         Servers known as ill are left out: one borrowed server that died looked like a cut of its zone.
         """
-        met = [self.recent(server, since, pair[0]) for index, server in self.servers.items()
-               if server.zone == pair[1] and server.phase == api.Phase.READY and index not in self.ill]
+        met = [self.recent(server, since, pair[0]) for index, server in self.ready()
+               if server.entry.zone == pair[1] and index not in self.ill]
         failing = sum(1 for tries, bad, _ in met if tries and bad > CUT_SHARE * tries)
         return sum(one[0] for one in met), sum(one[1] for one in met), failing
 
@@ -322,45 +310,37 @@
 
         It answers any trouble between two zones, a lost zone too; bad everywhere is overload and no cut.
         """
-        zones = sorted({proxy.zone for _, proxy in self.joined()})
-        pairs = [(near, far) for near in zones for far in range(self.zones)]
-        met = {pair: self.across(pair, self.now - EVIDENCE) for pair in pairs}
+        met = {(near, far): self.across((near, far), self.now - EVIDENCE)
+               for near in sorted(self.share) for far in range(self.zones)}
         tries, bad = sum(one[0] for one in met.values()), sum(one[1] for one in met.values())
         for pair, (some, failed, failing) in met.items():
-            elsewhere = (bad - failed) / (tries - some) if tries > some else 1.0
-            known = pair in self.cut
-            if pair[0] != pair[1] and not known and failing >= CUT_SERVERS and some >= EVIDENCE_TRIES and (
-                    failed > CUT_SHARE * some and elsewhere < CUT_SHARE / 2):
-                self.cut[pair] = Illness(self.now + SPELL)
-        for pair, illness in list(self.cut.items()):
-            if not illness.trial and self.now >= illness.until:
-                illness.trial, illness.until = True, self.now
-            elif illness.trial:
-                some, failed, _ = self.across(pair, illness.until + self.settle)
-                if some >= TRIAL_TRIES and failed > CUT_SHARE * some:
-                    illness.spell = min(2 * illness.spell, SPELL_MOST)
-                    illness.trial, illness.until = False, self.now + illness.spell
-                elif some >= TRIAL_TRIES or pair[0] not in zones:
-                    del self.cut[pair]
-
-    def ease(self, seen: dict[int, tuple[int, int, float]]) -> None:
-        """Halve the line of a server that answers too late while its peers don't: it is weaker than listed.
-
-        It acts on a symptom, so it covers a server slowed by a neighbour as well; with many slow it stops,
-        for then all are loaded and halving one part only loads the rest.
+            clear = failing >= CUT_SERVERS and some >= EVIDENCE_TRIES and failed > CUT_SHARE * some
+            well = tries > some and (bad - failed) / (tries - some) < CUT_SHARE / 2
+            if pair[0] != pair[1] and pair not in self.cut and clear and well:
+                self.cut[pair] = Spell(self.now)
+        for pair, spell in list(self.cut.items()):
+            some, failed, _ = self.across(pair, spell.until + self.settle)
+            if spell.over(self.now, some, failed, CUT_SHARE) or pair[0] not in self.share:
+                del self.cut[pair]
+
+    def ease(self) -> None:
+        """Halve the line of a server that answers too late while its peers don't.
+
+        It answers a listed weight that is too high and any slowness of one server; with many slow it
+        stops, for then halving one part only loads the rest.
         """
+        seen = {index: self.recent(server, self.now - EASE_EVIDENCE) for index, server in self.ready()}
         usual = median([one[2] for one in seen.values() if one[0]] or [0.0])
         for index, (tries, _, took) in seen.items():
-            until, spell = self.eased.get(index, (0, EASE_SPELL))
-            late = tries >= 2 * EVIDENCE_TRIES and took > LATE * self.budget and took > LATE_PEERS * usual
+            late = tries >= EASE_TRIES and took > max(LATE * self.budget, LATE_PEERS * usual)
             if late and index not in self.eased and len(self.eased) < OUT_MOST * len(seen):
-                self.eased[index] = self.now + spell, spell
-            elif until and self.now >= until:
+                self.eased[index] = self.now + EASE_SPELL
+            elif self.eased.get(index, self.now) < self.now:
                 del self.eased[index]
 
     def set_level(self, busy: bool, took: float, tries: int, good: int) -> None:
-        """Block early while most servers answer too late: work that comes too late is lost and blocks more."""
-        room = sum(self.servers[index].weight * part for index, part in self.usable().items()) or 1.0
+        """Block early while most servers answer late: what comes too late is lost and delays the rest."""
+        room = sum(self.servers[index].entry.weight * part for index, part in self.usable().items()) or 1.0
         self.delivered.append(good / room)
         # One step for each round trip of order and report, else the same overload is counted twice.
         if self.now < self.level_at + self.settle or not busy and self.level == 1.0:
@@ -403,7 +383,7 @@
         lines: dict[int, list[int]] = {zone: [] for zone in shares}
         spare = []
         for index in sorted(parts, key=lambda index: (-parts[index], index)):
-            zone = self.servers[index].zone
+            zone = self.servers[index].entry.zone
             if zone in due and got[zone] + parts[index] / 2 <= due[zone]:
                 lines[zone].append(index)
                 got[zone] += parts[index]
@@ -413,7 +393,7 @@
             # The worst off borrows first; a server stays with the zone that has it, else tables would churn.
             zone = max(due, key=lambda zone: (
                 due[zone] - got[zone] + 0.3 * (index in self.laid.get(zone, ())) + 0.1 * (
-                    zone == self.servers[index].zone), -zone))
+                    zone == self.servers[index].entry.zone), -zone))
             lines[zone].append(index)
             got[zone] += parts[index]
         worst = max(((due[zone] - got[zone]) / got[zone] if got[zone] else 1.0) for zone in due)
@@ -425,64 +405,65 @@
         shares = self.zone_shares()
         if not parts or not shares:
             return {}
-        weigh = {index: self.servers[index].weight * part for index, part in parts.items()}
+        weigh = {index: self.servers[index].entry.weight * part for index, part in parts.items()}
         # A zone that is cut off has a table of all that it reaches; the others are dealt without it.
-        apart = {zone: self.reach(zone, weigh) for zone in shares if any(near == zone for near, _ in self.cut)}
-        apart = {zone: lines for zone, lines in apart.items() if lines}
+        reached = {zone: self.reach(zone, weigh) for zone, _ in sorted(self.cut) if zone in shares}
+        apart = {zone: lines for zone, lines in reached.items() if lines}
         near = {zone: share for zone, share in shares.items() if zone not in apart}
         if not near:
             return apart
         lines = self.deal(parts, {zone: share / sum(near.values()) for zone, share in near.items()})
-        zoneless = -1 in near or any(self.servers[index].zone < 0 for index in parts)
+        zoneless = -1 in near or any(self.servers[index].entry.zone < 0 for index in parts)
         every = self.fallback or zoneless or len(parts) < self.zones
-        tables = {ALL: weigh} if every or not all(lines.values()) else {}
+        tables = {self.zones: weigh} if every or not all(lines.values()) else {}
         if not every:
             tables |= {zone: {index: weigh[index] for index in lines[zone]} for zone in lines if lines[zone]}
         return tables | apart
 
     def reach(self, zone: int, weigh: dict[int, float]) -> dict[int, float]:
-        lines = {}
-        for index, weight in weigh.items():
-            illness = self.cut.get((zone, self.servers[index].zone))
-            if illness is None or illness.trial:
-                lines[index] = weight * (1.0 if illness is None else TRIAL_PART)
-        return lines
+        spells = {index: self.cut.get((zone, self.servers[index].entry.zone)) for index in weigh}
+        return {index: weigh[index] * (TRIAL_PART if spell else 1.0)
+                for index, spell in spells.items() if spell is None or spell.trial}
 
     # What is sent
 
     def turn(self) -> None:
-        if self.must_watch and not self.watching and self.now >= self.watch_at:
-            self.watching = True
+        if self.watch_at is not None and self.now >= self.watch_at:
+            self.watch_at = None
             self.orders.append(api.Watch(True))
         if self.heard:
             self.heard = False
             self.judge()
-        self.queue = max(0.0, self.queue - (self.now - self.queue_at) * self.drain_per_ns)
-        self.queue_at = self.now
+        drained = (self.now - self.queue_at) * self.drain_per_ns
+        self.queue, self.queue_at = max(0.0, self.queue - drained), self.now
         self.touched: set[int] = set()
-        self.withdraw()
+        if not (self.sliced and self.single_owner):
+            self.withdraw(True)
+        if self.sliced:
+            self.tend_slices()
+            return
         tables = self.plan()
         for table in tables:
             self.lay(table, tables[table])
-        for index in list(self.shut):
-            ready = self.servers[index].phase == api.Phase.READY
-            if ready and self.afford([proxy for proxy, _ in self.joined()], 1, True):
-                self.shut.discard(index)
-                self.orders.append(api.Withdraw(index, False))
+        # Let in again only after its lines are laid: an old line may be larger than a cold server stands.
+        self.withdraw(False)
         self.bind(tables)
 
-    def number(self, table: int) -> int:
-        return self.zones if table == ALL else table
-
-    def withdraw(self) -> None:
-        """First of all, and beyond the ordinary budget: a drain has a grace, all else can wait."""
+    def withdraw(self, out: bool) -> None:
+        """Shut out at once, beyond the ordinary budget: a drain has a grace, all else can wait."""
+        everyone = [proxy for proxy, _ in self.joined()]
+        binding = {api.Phase.DRAINING} if self.only_draining_binds else {api.Phase.DRAINING, api.Phase.GONE}
         for index, server in self.servers.items():
-            gone = server.phase == api.Phase.GONE and not self.only_draining_binds
-            binds = gone or server.phase == api.Phase.DRAINING
-            if binds and index not in self.shut:
+            if (index in self.shut) == out or (server.entry.phase in binding) != out:
+                continue
+            if out:
+                self.charge(everyone, 1)
                 self.shut.add(index)
-                self.charge([proxy for proxy, _ in self.joined()], 1)
-                self.orders.append(api.Withdraw(index, True))
+            elif self.afford(everyone, 1, True):
+                self.shut.discard(index)
+            else:
+                continue
+            self.orders.append(api.Withdraw(index, out))
 
     def charge(self, proxies: list[int], lines: int) -> None:
         for proxy in proxies:
@@ -518,38 +499,57 @@
         for index, weight in changes:
             if not self.afford(users, 1, not bare):
                 return
-            self.orders.append(api.Share(self.number(table), index, weight))
+            self.orders.append(api.Share(table, index, weight))
             if weight:
                 laid[index] = weight
             else:
                 del laid[index]
-        levels = self.levels()
-        for mask, again, allowance in levels:
-            if (mask, again, allowance) in self.laid_levels.get(table, ()):
-                continue
-            if not self.afford(users, 1, True):
-                return
-            self.orders.append(api.Level(self.number(table), mask, again, allowance))
-        self.laid_levels[table] = levels
-
-    def levels(self) -> list[tuple[int, api.Again, float]]:
-        result = []
-        level = round(self.level, 2) if self.levels_heeded else 1.0
-        for safe, again in ((True, self.again), (False, min(self.again, api.Again.IF_NOT_RUN))):
-            for yields in (True, False):
-                mask = self.masks[safe] & (self.yielding if yields else self.everyone & ~self.yielding)
-                if mask:
-                    result.append((mask, again, level if yields else 1.0))
-        return result
+        levels = self.laid_levels.setdefault(table, {})
+        for mask, (safe, yields) in self.masks.items():
+            again = self.again if safe else min(self.again, api.Again.IF_NOT_RUN)
+            wish = again, round(self.level, 2) if yields and self.levels_heeded else 1.0
+            if levels.get(mask) != wish and self.afford(users, 1, True):
+                self.orders.append(api.Level(table, mask, *wish))
+                levels[mask] = wish
 
     def bind(self, tables: dict[int, dict[int, float]]) -> None:
         """Worst off first: proxies with no table of ours, then those whose table has changed."""
         for index, proxy in sorted(self.joined(), key=lambda one: (one[1].table is not None, one[0])):
-            table = proxy.zone if proxy.zone in tables else ALL
+            table = proxy.zone if proxy.zone in tables else self.zones
             lines = self.laid.get(table, {})
             if proxy.table == table or not any(line not in self.shut for line in lines):
                 continue
             cost = 1 + len(lines) + len(self.laid_levels.get(table, ()))
             if self.afford([index], cost, proxy.table is not None):
                 proxy.table = table
-                self.orders.append(api.Bind(index, self.number(table), 0))
+                self.orders.append(api.Bind(index, table, 0))
+
+    # Sites with slices
+
+    def tend_slices(self) -> None:
+        """Give each slice in our charge the server that holds least, and leave it there while it is ready.
+
+        A single owner is moved in two steps, against writes at two servers: all flows of the slice stop,
+        and the next owner comes only when no write can still be in hand at the old one.
+        """
+        everyone = [proxy for proxy, _ in self.joined()]
+        ready = self.usable()
+        load = {index: sum(index in lines for lines in self.held.values()) for index in ready}
+        for number, lines in sorted(self.held.items()):
+            if not ready or any(index in ready for index in lines) and number not in self.stopped:
+                continue
+            if self.single_owner and lines:
+                if number not in self.stopped and self.afford(everyone, 1, False):
+                    self.stopped[number] = self.now
+                    self.orders.append(api.Level(number, 0, api.Again.NEVER, 0.0))
+                if self.now < self.stopped.get(number, self.now) + self.handover:
+                    continue
+            heir = min(ready, key=lambda index: (load[index] / self.servers[index].entry.weight, index))
+            if self.afford(everyone, 2 + len(lines), False):
+                load[heir] += 1
+                self.orders.append(api.Share(number, heir, self.servers[heir].entry.weight))
+                if self.stopped.pop(number, None) is not None:
+                    self.orders.append(api.Level(number, 0, api.Again.NEVER, 1.0))
+                if not self.single_owner:
+                    self.orders += [api.Share(number, index, 0.0) for index in lines if index != heir]
+                self.held[number] = {heir: self.servers[heir].entry.weight}
