--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -25,7 +25,8 @@
 # Half of the limit is kept free at all times: a slow channel and a burst of withdrawals must both fit.
 QUEUE_PART = 0.4
 SLOW_CHANNEL = 0.6
-ORDINARY_MESSAGES = 0.6
+# Parts of a proxy's messages that orders may use: ordinary ones, those that end bareness, drains.
+ORDINARY, PRESSING, BINDING = 0.6, 0.8, 1.0
 
 SAMPLES = 40
 EVIDENCE = 5 * SECOND // 2
@@ -79,7 +80,7 @@
         self.table: int | None = None
         self.joined = True
         self.usage: deque[tuple[int, int]] = deque()
-        self.messages: deque[int] = deque()
+        self.messages: deque[int] = deque(maxlen=SAMPLES)
 
 
 class Spell:
@@ -456,36 +457,23 @@
         for index, server in self.servers.items():
             if (index in self.shut) == out or (server.entry.phase in binding) != out:
                 continue
-            if out:
-                self.charge(everyone, 1)
-                self.shut.add(index)
-            elif self.afford(everyone, 1, True):
-                self.shut.discard(index)
-            else:
-                continue
-            self.orders.append(api.Withdraw(index, out))
-
-    def charge(self, proxies: list[int], lines: int) -> None:
-        for proxy in proxies:
-            if proxy not in self.touched:
-                self.touched.add(proxy)
-                self.queue += self.head
-                self.proxies[proxy].messages.append(self.now)
-        self.queue += lines * len(proxies)
+            if self.afford(everyone, 1, BINDING if out else ORDINARY):
+                self.shut ^= {index}
+                self.orders.append(api.Withdraw(index, out))
 
-    def afford(self, proxies: list[int], lines: int, ordinary: bool) -> bool:
+    def afford(self, proxies: list[int], lines: int, part: float) -> bool:
         """Take room in the channel and in each proxy's count of messages, or leave it for a later turn."""
-        cost = lines * len(proxies) + self.head * sum(proxy not in self.touched for proxy in proxies)
-        if self.queue + cost > self.queue_most and self.queue > 0:
+        fresh = [self.proxies[index] for index in proxies if index not in self.touched]
+        cost = lines * len(proxies) + self.head * len(fresh)
+        horizon = self.now - self.message_span
+        written = max((sum(at > horizon for at in proxy.messages) for proxy in fresh), default=0)
+        full = self.queue and self.queue + cost > self.queue_most or written >= part * self.message_limit
+        if full and part != BINDING:
             return False
-        limit = self.message_limit * ORDINARY_MESSAGES if ordinary else self.message_limit - 2
-        for index in proxies:
-            messages = self.proxies[index].messages
-            while messages and messages[0] < self.now - self.message_span:
-                messages.popleft()
-            if index not in self.touched and len(messages) + 1 > limit:
-                return False
-        self.charge(proxies, lines)
+        self.touched.update(proxies)
+        self.queue += cost
+        for proxy in fresh:
+            proxy.messages.append(self.now)
         return True
 
     def lay(self, table: int, wanted: dict[int, float]) -> None:
@@ -497,7 +485,7 @@
         changes += [(index, 0.0) for index in laid if index not in wanted]
         bare = not any(index in laid and index not in self.shut for index in wanted)
         for index, weight in changes:
-            if not self.afford(users, 1, not bare):
+            if not self.afford(users, 1, PRESSING if bare else ORDINARY):
                 return
             self.orders.append(api.Share(table, index, weight))
             if weight:
@@ -508,7 +496,7 @@
         for mask, (safe, yields) in self.masks.items():
             again = self.again if safe else min(self.again, api.Again.IF_NOT_RUN)
             wish = again, round(self.level, 2) if yields and self.levels_heeded else 1.0
-            if levels.get(mask) != wish and self.afford(users, 1, True):
+            if levels.get(mask) != wish and self.afford(users, 1, ORDINARY):
                 self.orders.append(api.Level(table, mask, *wish))
                 levels[mask] = wish
 
@@ -520,7 +508,7 @@
             if proxy.table == table or not any(line not in self.shut for line in lines):
                 continue
             cost = 1 + len(lines) + len(self.laid_levels.get(table, ()))
-            if self.afford([index], cost, proxy.table is not None):
+            if self.afford([index], cost, PRESSING if proxy.table is None else ORDINARY):
                 proxy.table = table
                 self.orders.append(api.Bind(index, table, 0))
 
@@ -539,13 +527,13 @@
             if not ready or any(index in ready for index in lines) and number not in self.stopped:
                 continue
             if self.single_owner and lines:
-                if number not in self.stopped and self.afford(everyone, 1, False):
+                if number not in self.stopped and self.afford(everyone, 1, PRESSING):
                     self.stopped[number] = self.now
                     self.orders.append(api.Level(number, 0, api.Again.NEVER, 0.0))
                 if self.now < self.stopped.get(number, self.now) + self.handover:
                     continue
             heir = min(ready, key=lambda index: (load[index] / self.servers[index].entry.weight, index))
-            if self.afford(everyone, 2 + len(lines), False):
+            if self.afford(everyone, 2 + len(lines), PRESSING):
                 load[heir] += 1
                 self.orders.append(api.Share(number, heir, self.servers[heir].entry.weight))
                 if self.stopped.pop(number, None) is not None:
