--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -21,6 +21,7 @@
 SHARE_MOVE = 0.1
 OVERLOAD_LIMIT = 0.2
 OVERLOAD_CALM = 0.15
+LINES_LEAST = 3
 
 # Half of the limit is kept free at all times: a slow channel and a burst of withdrawals must both fit.
 QUEUE_PART = 0.4
@@ -36,7 +37,6 @@
 CUT_SERVERS = 2
 OUT_MOST = 0.34
 SPELL = 4 * SECOND
-SPELL_MOST = 16 * SECOND
 TRIAL_PART = 0.1
 TRIAL_TRIES = 3
 COLD_STEP = 0.05
@@ -84,10 +84,10 @@
 
 
 class Spell:
-    """Something kept out for a while, then tried with a small part; each relapse doubles the next spell."""
+    """Something kept out for a while, then tried with a small part, again and again until it does well."""
 
     def __init__(self, now: int) -> None:
-        self.length, self.until, self.trial = SPELL, now + SPELL, False
+        self.until, self.trial = now + SPELL, False
 
     def over(self, now: int, tries: int, bad: int, bound: float) -> bool:
         """Whether it may come back, by what was met since its trial began."""
@@ -96,8 +96,7 @@
         elif self.trial and tries >= TRIAL_TRIES:
             if bad < bound * tries:
                 return True
-            self.length = min(2 * self.length, SPELL_MOST)
-            self.trial, self.until = False, now + self.length
+            self.trial, self.until = False, now + SPELL
         return False
 
 
@@ -379,7 +378,7 @@
     def deal(self, parts: dict[int, float], shares: dict[int, float]) -> dict[int, list[int]]:
         """Each zone keeps its own servers up to its due and borrows from what others have left."""
         total = sum(parts.values())
-        due = {zone: share * total for zone, share in shares.items()}
+        due = {zone: share * total / sum(shares.values()) for zone, share in shares.items()}
         got = dict.fromkeys(shares, 0.0)
         lines: dict[int, list[int]] = {zone: [] for zone in shares}
         spare = []
@@ -390,14 +389,14 @@
                 got[zone] += parts[index]
             else:
                 spare.append(index)
-        for index in spare:
+        for index in spare if due else ():
             # The worst off borrows first; a server stays with the zone that has it, else tables would churn.
             zone = max(due, key=lambda zone: (
                 due[zone] - got[zone] + 0.3 * (index in self.laid.get(zone, ())) + 0.1 * (
                     zone == self.servers[index].entry.zone), -zone))
             lines[zone].append(index)
             got[zone] += parts[index]
-        worst = max(((due[zone] - got[zone]) / got[zone] if got[zone] else 1.0) for zone in due)
+        worst = max(((due[zone] - got[zone]) / got[zone] if got[zone] else 1.0 for zone in due), default=0.0)
         self.fallback = worst > (OVERLOAD_CALM if self.fallback else OVERLOAD_LIMIT)
         return lines
 
@@ -411,15 +410,16 @@
         reached = {zone: self.reach(zone, weigh) for zone, _ in sorted(self.cut) if zone in shares}
         apart = {zone: lines for zone, lines in reached.items() if lines}
         near = {zone: share for zone, share in shares.items() if zone not in apart}
-        if not near:
-            return apart
-        lines = self.deal(parts, {zone: share / sum(near.values()) for zone, share in near.items()})
+        lines = self.deal(parts, near)
+        # With fewer lines one sick server is a third of a zone and all repeats fall on what is left: such a
+        # zone uses the table of all servers, and the rest is dealt without it.
+        while small := sorted((len(lines[zone]), zone) for zone in near if len(lines[zone]) < LINES_LEAST):
+            del near[small[0][1]]
+            lines = self.deal(parts, near)
         zoneless = -1 in near or any(self.servers[index].entry.zone < 0 for index in parts)
-        every = self.fallback or zoneless or len(parts) < self.zones
-        tables = {self.zones: weigh} if every or not all(lines.values()) else {}
-        if not every:
-            tables |= {zone: {index: weigh[index] for index in lines[zone]} for zone in lines if lines[zone]}
-        return tables | apart
+        if not self.fallback and not zoneless and len(parts) >= self.zones:
+            apart |= {zone: {index: weigh[index] for index in lines[zone]} for zone in near}
+        return apart if apart.keys() >= shares.keys() else apart | {self.zones: weigh}
 
     def reach(self, zone: int, weigh: dict[int, float]) -> dict[int, float]:
         spells = {index: self.cut.get((zone, self.servers[index].entry.zone)) for index in weigh}
