--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -44,10 +44,11 @@
 COLD_WARY = 0.4
 GOOD_SHARE = 0.85
 
-CALM_TIME = 0.55
+CALM_TIME = 0.38
+BUSY_TIME = 0.55
 LATE = 0.6
 LATE_PEERS = 2.0
-EASED_PART = 0.5
+EASED_PART = 0.65
 EASE_SPELL = 60 * SECOND
 EASE_EVIDENCE = 5 * SECOND
 EASE_TRIES = 10
@@ -286,14 +287,14 @@
         good = tries - sum(one[1] for one in fresh.values())
         self.good_share = good / tries
         took = median([one[2] for one in fresh.values() if one[0]])
-        busy = took > CALM_TIME * self.budget or usual > SHARED_BAD
+        busy = took > BUSY_TIME * self.budget or usual > SHARED_BAD
         # A further try after a time-out runs the flow twice, so most failures must come from servers that
         # fail while their peers do well; with all busy it would feed the overload, as one after a refusal.
         failing = sum(one[1] for index, one in fresh.items() if index in self.ill or (
             shares.get(index, 0.0) > max(BAD_SHARE / 2, 3 * usual)))
         calm = api.Again.ONCE if 2 * failing > tries - good else api.Again.IF_NOT_RUN
         self.again = api.Again.NEVER if busy else calm
-        self.set_level(busy, took, tries, good)
+        self.set_level(busy or took > CALM_TIME * self.budget, took, tries, good)
 
     def across(self, pair: tuple[int, int], since: int) -> tuple[int, int, int]:
         """Tries, bad ones and servers that fail, from one zone's proxies to another's servers.
