--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -48,7 +48,8 @@
 BUSY_TIME = 0.55
 LATE = 0.6
 LATE_PEERS = 2.0
-EASED_PART = 0.65
+EASE_STEP = 0.75
+EASED_LEAST = 0.5
 EASE_SPELL = 60 * SECOND
 EASE_EVIDENCE = 5 * SECOND
 EASE_TRIES = 10
@@ -136,7 +137,7 @@
         self.shut: set[int] = set()
         self.ill: dict[int, Spell] = {}
         self.cut: dict[tuple[int, int], Spell] = {}
-        self.eased: dict[int, int] = {}
+        self.eased: dict[int, tuple[float, int]] = {}
         self.share: dict[int, float] = {}
         self.fallback = False
         self.heard, self.good_share = False, 0.5
@@ -235,7 +236,7 @@
         parts = {}
         for index, server in self.ready():
             spell = self.ill.get(index)
-            part = self.warmth(server.entry.since) * (EASED_PART if index in self.eased else 1.0)
+            part = self.warmth(server.entry.since) * self.eased.get(index, (1.0, 0))[0]
             if spell is None or spell.trial:
                 parts[index] = min(part, TRIAL_PART) if spell else part
         return parts
@@ -325,19 +326,22 @@
                 del self.cut[pair]
 
     def ease(self) -> None:
-        """Halve the line of a server that answers too late while its peers don't.
+        """Lessen the line of a server that answers too late while its peers don't, a step at a time.
 
         It answers a listed weight that is too high and any slowness of one server; with many slow it
-        stops, for then halving one part only loads the rest.
+        stops, for then lessening one only loads the rest.
         """
         seen = {index: self.recent(server, self.now - EASE_EVIDENCE) for index, server in self.ready()}
         usual = median([one[2] for one in seen.values() if one[0]] or [0.0])
         for index, (tries, _, took) in seen.items():
+            part, at = self.eased.get(index, (1.0, 0))
             late = tries >= EASE_TRIES and took > max(LATE * self.budget, LATE_PEERS * usual)
-            if late and index not in self.eased and len(self.eased) < OUT_MOST * len(seen):
-                self.eased[index] = self.now + EASE_SPELL
-            elif self.eased.get(index, self.now) < self.now:
-                del self.eased[index]
+            room = len(self.eased) < OUT_MOST * len(seen) if part == 1.0 else part > EASED_LEAST
+            # The next step waits until all that is seen comes from after the last.
+            if late and room and self.now > at + self.settle + EASE_EVIDENCE:
+                self.eased[index] = part * EASE_STEP, self.now
+            elif self.now > at + EASE_SPELL:
+                self.eased.pop(index, None)
 
     def set_level(self, busy: bool, took: float, tries: int, good: int) -> None:
         """Block early while most servers answer late: what comes too late is lost and delays the rest."""
