--- a/ambershift/benchlink/wire.py
+++ b/ambershift/benchlink/wire.py
@@ -82,10 +82,6 @@
     return value
 
 
-def flag(values: Any, at: int) -> bool:
-    return isinstance(values, list) and at < len(values) and bool(values[at])
-
-
 REPEATS = {
     "free": api.Repeat.RETRIABLE, "guarded": api.Repeat.DEDUPED, "single_shot": api.Repeat.NON_RETRIABLE}
 
@@ -98,7 +94,7 @@
         raise WireError(f"settings: not JSON ({error})") from None
     if not isinstance(found, dict):
         raise WireError("settings: not an object")
-    info, rules, limits = section(found, "family_info"), section(found, "rules"), section(found, "limits")
+    info, rules = section(found, "family_info"), section(found, "rules")
     classes, zones = needed(found, "classes"), needed(found, "zones")
     if not isinstance(classes, list) or not isinstance(zones, list):
         raise WireError("settings: keys 'classes' and 'zones' must be lists")
@@ -114,25 +110,18 @@
             utility=number(one, "worth", 1.0, where),
             repeat=REPEATS.get(str(effect), api.Repeat.NON_RETRIABLE),
             dedup_everywhere=one.get("group", "all") == "all",
-            dedup_window=to_ns(number(one, "dedup_window", 0, where)),
-            own_zone=flag(info.get("class_own_zone"), at), writes=flag(info.get("mutating"), at)))
+            dedup_window=to_ns(number(one, "dedup_window", 0, where))))
     return api.Terms(
-        zones=len(zones), zone=int(number(found, "zone", 0)), position=int(number(found, "position", 0)),
-        instances=int(number(found, "instances", 1)), groups=tuple(groups),
-        must_watch=found.get("discovery") == "subscribe",
+        zones=len(zones), groups=tuple(groups), must_watch=found.get("discovery") == "subscribe",
         told_after=to_ns(number(rules, "ask_within", 10_000)),
-        grace=to_ns(number(rules, "stop_sending_within", None, "rules.")),
         only_draining_binds=bool(rules.get("soft_removal", False)),
         cold=to_ns(number(rules, "cold", 0)), cold_share=number(rules, "cold_share", 1.0),
-        fall_multiple=number(rules, "tip_multiple", 4.0), fall_window=to_ns(number(rules, "fall", 2000)),
-        bare_limit=to_ns(number(info, "blackhole", 3000)), lines_per_s=number(info, "egress_per_s", 1000),
-        head=number(info, "per_message", 0), waiting_limit=number(info, "most_waiting", 1000),
-        message_limit=int(number(info, "messages_most", 0)),
+        fall_multiple=number(rules, "tip_multiple", 4.0),
+        lines_per_s=number(info, "egress_per_s"), head=number(info, "per_message", 0),
+        waiting_limit=number(info, "most_waiting"), message_limit=int(number(info, "messages_most", 0)),
         message_span=to_ns(number(info, "reload_span", 10_000)),
         way=to_ns(number(info, "late", 0)), way_most=to_ns(number(info, "push_delay_max", 0)),
         report_period=to_ns(number(info, "cycle", 1000)), levels=str(info.get("admit", "silent")),
-        try_budgets=number(info, "try_aims", 1.0), strikes=int(number(info, "strikes", 0)),
-        may_probe=bool(limits.get("may_probe", False)), may_tell=bool(limits.get("peer_messages", False)),
         slices=int(number(info, "slices", 0)), single_owner=bool(info.get("one_owner", False)),
         in_hand=to_ns(number(info, "in_flight_max", 0)), lease=to_ns(number(info, "tenure", 0)))
 
--- a/ambershift/interface.py
+++ b/ambershift/interface.py
@@ -44,27 +44,19 @@
     repeat: Repeat
     dedup_everywhere: bool
     dedup_window: int
-    own_zone: bool
-    writes: bool
 
 
 class Terms(NamedTuple):
     """What a deployment grants and demands, as told to an instance at its start."""
 
     zones: int
-    zone: int
-    position: int
-    instances: int
     groups: tuple[Group, ...]
     must_watch: bool
     told_after: int
-    grace: int
     only_draining_binds: bool
     cold: int
     cold_share: float
     fall_multiple: float
-    fall_window: int
-    bare_limit: int
     lines_per_s: float
     head: float
     waiting_limit: float
@@ -74,10 +66,6 @@
     way_most: int
     report_period: int
     levels: str
-    try_budgets: float
-    strikes: int
-    may_probe: bool
-    may_tell: bool
     slices: int
     single_owner: bool
     in_hand: int
--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -40,6 +40,7 @@
 TRIAL_PART = 0.1
 TRIAL_TRIES = 3
 COLD_STEP = 0.05
+COLD_BEAT = 2 * SECOND
 COLD_MARGIN = 0.33
 COLD_WARY = 0.4
 GOOD_SHARE = 0.85
@@ -140,7 +141,7 @@
         self.eased: dict[int, tuple[float, int]] = {}
         self.share: dict[int, float] = {}
         self.fallback = False
-        self.heard, self.good_share = False, 0.5
+        self.heard, self.judged_at, self.good_share = False, self.now, 0.5
         self.level_at = self.now - self.settle
         self.delivered: deque[float] = deque(maxlen=60)
         self.level, self.again = 1.0, api.Again.IF_NOT_RUN
@@ -224,7 +225,9 @@
         """The part of itself that a server surely is by now, in steps so that few lines change."""
         if not since or not self.cold or self.now >= since + self.cold:
             return 1.0
-        part = self.cold_share + (1 - self.cold_share) * (self.now - since) / self.cold
+        # All cold servers take their steps at one time, else each would cost its proxies messages of its own.
+        age = max(0, self.now - self.now % COLD_BEAT - since)
+        part = self.cold_share + (1 - self.cold_share) * age / self.cold
         # Tries that fail come again, here and at clients, and look for whoever still takes work: in an
         # overload, or while one may tip over again, a fair part can be many times what a cold server stands.
         if self.level < 1.0 or self.good_share < GOOD_SHARE:
@@ -265,10 +268,11 @@
         since = self.now - EVIDENCE
         self.find_cuts()
         seen = {index: self.recent(server, since) for index, server in self.ready()}
-        shares = {index: bad / tries for index, (tries, bad, _) in seen.items() if tries >= EVIDENCE_TRIES}
-        usual = median(shares.values()) if shares else 0.0
+        # Few tries count here too: while most is blocked, only servers that fail might be met often.
+        usual = median([bad / tries for tries, bad, _ in seen.values() if tries] or [0.0])
         # Late answers tell of load, not of illness: a server put out for them only moves the load on.
-        shares = {index: share for index, share in shares.items() if seen[index][2] < LATE * self.budget}
+        shares = {index: bad / tries for index, (tries, bad, took) in seen.items()
+                  if tries >= EVIDENCE_TRIES and took < LATE * self.budget}
         self.ease()
         bound = max(BAD_SHARE, 3 * usual)
         for index in sorted(shares, key=lambda index: (-shares[index], index)):
@@ -284,6 +288,7 @@
         fresh = {index: self.recent(server, self.now - self.fresh) for index, server in self.ready()}
         tries = sum(one[0] for one in fresh.values())
         if not tries:
+            self.set_level(False, 0.0, 0, 0)
             return
         good = tries - sum(one[1] for one in fresh.values())
         self.good_share = good / tries
@@ -351,7 +356,7 @@
         if self.now < self.level_at + self.settle or not busy and self.level == 1.0:
             return
         self.level_at = self.now
-        room *= LOAD_AIM * max(self.delivered) / tries
+        room *= LOAD_AIM * max(self.delivered) / tries if tries else 0.0
         if busy:
             room *= min(1.0, CALM_TIME * self.budget / took if took else 1.0)
             self.level = max(LEVEL_LEAST, self.level * min(0.95, max(0.4, room)))
@@ -437,8 +442,9 @@
         if self.watch_at is not None and self.now >= self.watch_at:
             self.watch_at = None
             self.orders.append(api.Watch(True))
-        if self.heard:
-            self.heard = False
+        # Also when reports stop: what is out must be tried again, and a level must come back.
+        if self.heard or self.now >= self.judged_at + 2 * SECOND:
+            self.heard, self.judged_at = False, self.now
             self.judge()
         drained = (self.now - self.queue_at) * self.drain_per_ns
         self.queue, self.queue_at = max(0.0, self.queue - drained), self.now
@@ -448,6 +454,7 @@
         if self.sliced:
             self.tend_slices()
             return
+        self.shrink()
         tables = self.plan()
         for table in tables:
             self.lay(table, tables[table])
@@ -481,9 +488,23 @@
             proxy.messages.append(self.now)
         return True
 
+    def users(self, table: int) -> list[int]:
+        return [index for index, proxy in self.joined() if proxy.table == table]
+
+    def shrink(self) -> None:
+        """Lower the lines of servers that started cold, in each table in use, also in one on its way out."""
+        for table, laid in self.laid.items():
+            for index, weight in laid.items():
+                entry = self.servers[index].entry
+                most = entry.weight * self.warmth(entry.since)
+                if weight > most > 0 and entry.phase == api.Phase.READY and (
+                        self.afford(self.users(table), 1, PRESSING)):
+                    laid[index] = most
+                    self.orders.append(api.Share(table, index, most))
+
     def lay(self, table: int, wanted: dict[int, float]) -> None:
         laid = self.laid.setdefault(table, {})
-        users = [index for index, proxy in self.joined() if proxy.table == table]
+        users = self.users(table)
         changes = [(index, weight) for index, weight in wanted.items()
                    if abs(weight - laid.get(index, 0.0)) > 1e-6]
         # Additions before removals: a table cut in two by the budget must never be the emptier for it.
@@ -491,7 +512,7 @@
         bare = not any(index in laid and index not in self.shut for index in wanted)
         for index, weight in changes:
             if not self.afford(users, 1, PRESSING if bare else ORDINARY):
-                return
+                continue
             self.orders.append(api.Share(table, index, weight))
             if weight:
                 laid[index] = weight
--- /dev/null
+++ b/tests/plain.py
@@ -0,0 +1,144 @@
+"""A slow, plain model of proxies, channel and rules, to run beside the module."""
+
+from collections import defaultdict
+
+from ambershift import interface as api
+from ambershift.policy import TableManager
+
+S = 1_000_000_000
+READS, WRITES = 0, 1
+
+
+def group(**changes: object) -> api.Group:
+    one = api.Group(budget=S // 2, expiry=2 * S, utility=1.0, repeat=api.Repeat.RETRIABLE,
+                    dedup_everywhere=True, dedup_window=0)
+    return one._replace(**changes)
+
+
+def make_terms(**changes: object) -> api.Terms:
+    terms = api.Terms(
+        zones=2, groups=(group(), group(utility=3.0, repeat=api.Repeat.NON_RETRIABLE)), must_watch=False,
+        told_after=10 * S, only_draining_binds=False, cold=10 * S, cold_share=0.2, fall_multiple=4.0,
+        lines_per_s=1000.0, head=3.0, waiting_limit=1500.0, message_limit=12, message_span=10 * S,
+        way=S // 5, way_most=S // 2, report_period=S, levels="fraction", slices=0, single_owner=False,
+        in_hand=S, lease=S)
+    return terms._replace(**changes)
+
+
+def entry(server: int, zone: int = 0, phase: api.Phase = api.Phase.READY, since: int = 0) -> api.Entry:
+    return api.Entry(server, zone, phase, 1.0 + server % 3, since)
+
+
+class Plain:
+    """Carries out orders by the letter and complains of any that a rule forbids."""
+
+    def __init__(self, terms: api.Terms, servers: list[api.Entry], now: int = 100 * S) -> None:
+        self.terms, self.now, self.module = terms, now, TableManager()
+        self.listed: dict[int, api.Entry] = {}
+        self.proxies: dict[int, dict[int, int]] = {}
+        self.tables: dict[int, dict[int, float]] = defaultdict(dict)
+        self.levels: dict[int, dict[int, api.Level]] = defaultdict(dict)
+        self.shut: set[int] = set()
+        self.stopped: set[int] = set()
+        self.waiting = 0.0
+        self.written: dict[int, list[int]] = defaultdict(list)
+        self.bare_since: dict[int, int] = {}
+        self.wakes: list[tuple[int, int]] = []
+        self.orders: list[api.Order] = []
+        self.tell(api.Born(7, terms), api.Listed(True, True, tuple(servers)))
+
+    def tell(self, *events: api.Event) -> list[api.Order]:
+        for event in events:
+            if isinstance(event, api.Listed):
+                if event.whole:
+                    self.listed = {i: one._replace(phase=api.Phase.GONE) for i, one in self.listed.items()}
+                self.listed.update({one.server: one for one in event.entries})
+            elif isinstance(event, api.Joined):
+                self.proxies[event.proxy] = {}
+                self.written[event.proxy].clear()
+            elif isinstance(event, api.Left):
+                self.proxies.pop(event.proxy, None)
+        self.orders = self.module.step(self.now, events)
+        lines: dict[int, int] = defaultdict(int)
+        for order in self.orders:
+            for proxy in self.carry_out(order):
+                lines[proxy] += 1
+        self.waiting += sum(self.terms.head + count for count in lines.values())
+        for proxy in lines:
+            self.written[proxy].append(self.now)
+        for written in self.written.values():
+            written[:] = [at for at in written if at > self.now - self.terms.message_span]
+        self.check()
+        return self.orders
+
+    def carry_out(self, order: api.Order) -> list[int]:
+        """Give back the proxies that the order writes a line to, once for each line."""
+        match order:
+            case api.Share():
+                assert order.server in self.listed and order.weight >= 0
+                if order.weight:
+                    if self.terms.single_owner:
+                        self.tables[order.table].clear()
+                    self.tables[order.table][order.server] = order.weight
+                else:
+                    self.tables[order.table].pop(order.server, None)
+                return self.users(order.table)
+            case api.Level():
+                self.levels[order.table][order.mask] = order
+                (self.stopped.add if order.allowance == 0 else self.stopped.discard)(order.table)
+                return self.users(order.table)
+            case api.Withdraw():
+                (self.shut.add if order.out else self.shut.discard)(order.server)
+                return list(self.proxies)
+            case api.Bind():
+                assert not self.terms.slices
+                self.proxies[order.proxy] = dict.fromkeys(range(len(self.terms.groups)), order.table)
+                cost = 1 + len(self.tables[order.table]) + len(self.levels[order.table])
+                return [order.proxy] * cost
+            case api.Wake():
+                self.wakes.append((self.now + order.after, order.token))
+        return []
+
+    def users(self, table: int) -> list[int]:
+        if self.terms.slices:
+            return list(self.proxies)
+        return [proxy for proxy, tables in self.proxies.items() if table in tables.values()]
+
+    def reached(self, table: int) -> set[int]:
+        return set() if table in self.stopped else set(self.tables[table]) - self.shut
+
+    def ready(self) -> set[int]:
+        return {i for i, one in self.listed.items() if one.phase == api.Phase.READY}
+
+    def check(self) -> None:
+        binding = {api.Phase.DRAINING} | (set() if self.terms.only_draining_binds else {api.Phase.GONE})
+        for proxy, tables in self.proxies.items():
+            for table in set(tables.values()):
+                for server in self.reached(table):
+                    one = self.listed[server]
+                    assert one.phase not in binding, f"drain: {server} in table {table}"
+                    age = self.now - one.since
+                    known = one.since and one.phase == api.Phase.READY and len(self.written[proxy]) < 9
+                    if known and age < self.terms.cold:
+                        part = self.terms.cold_share + (1 - self.terms.cold_share) * age / self.terms.cold
+                        assert self.tables[table][server] <= part * one.weight + 0.051, "cold server"
+                for order in self.levels[table].values():
+                    if order.mask & 1 << WRITES:
+                        assert order.again <= api.Again.IF_NOT_RUN, "a flow could run twice"
+            if self.terms.slices or tables and all(self.reached(table) for table in tables.values()) or not self.ready():
+                self.bare_since[proxy] = self.now
+            assert self.now - self.bare_since.setdefault(proxy, self.now) <= 2 * S, f"proxy {proxy} is bare"
+            assert len(self.written[proxy]) <= (self.terms.message_limit or 1 << 30), "messages"
+        assert self.waiting <= self.terms.waiting_limit, "backlog"
+
+    def run(self, span: int, *events: api.Event) -> None:
+        """Let time pass to the next wakes; the events come with the first of them."""
+        end = self.now + span
+        while self.wakes and min(self.wakes)[0] <= end:
+            at, token = min(self.wakes)
+            self.wakes.remove((at, token))
+            self.waiting = max(0.0, self.waiting - (at - self.now) / S * self.terms.lines_per_s)
+            self.now = at
+            self.tell(api.Due(token), *events)
+            events = ()
+        self.now = end
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,197 @@
+"""The module beside the plain model on generated days, and a small case for each failure found."""
+
+import random
+
+import pytest
+from plain import READS, WRITES, Plain, S, entry, group, make_terms
+
+from ambershift import interface as api
+
+
+def well(bad: int = 0, ms: int = 100) -> list[api.Met]:
+    return [met(i, 20, bad, i % 2, ms) for i in range(8)]
+
+
+def met(server: int, tries: int, bad: int, zone: int = 0, ms: int = 100) -> api.Met:
+    return api.Met(zone, server, tries, bad, ms * 1_000_000, S, ())
+
+
+def small(count: int = 8, zones: int = 2, **changes: object) -> Plain:
+    plain = Plain(make_terms(zones=zones, **changes), [entry(i, i % zones) for i in range(count)])
+    plain.tell(*[api.Joined(proxy, proxy % zones, 5.0, True) for proxy in range(2 * zones)])
+    return plain
+
+
+def lines(plain: Plain, proxy: int) -> dict[int, float]:
+    return plain.tables[plain.proxies[proxy][READS]]
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_generated_days_keep_the_rules(seed: int) -> None:
+    rng = random.Random(seed)
+    zones, count = rng.randint(1, 4), rng.randint(2, 14)
+    terms = make_terms(zones=zones, must_watch=rng.random() < 0.3, message_limit=rng.choice([0, 12]),
+                       only_draining_binds=rng.random() < 0.3, levels=rng.choice(["fraction", "silent"]))
+    plain = Plain(terms, [entry(i, rng.randrange(-1, zones) if rng.random() < 0.1 else i % zones)
+                          for i in range(count)])
+    for _ in range(80):
+        events: list[api.Event] = []
+        for proxy in range(10):
+            if rng.random() < 0.05:
+                events.append(rng.choice([api.Joined(proxy, proxy % zones, 3.0, True), api.Left(proxy)]))
+            events.append(api.Usage(proxy, READS, rng.randrange(20), 0, S))
+        sick = rng.random()
+        for server in range(count):
+            tries = rng.randrange(15)
+            events.append(met(server, tries, int(tries * (rng.random() < sick / 3)), rng.randrange(zones),
+                              rng.choice([50, 200, 900])))
+        if rng.random() < 0.15:
+            chosen = rng.sample(range(count), rng.randint(1, min(2, count)))
+            events.append(api.Listed(False, False, tuple(
+                entry(i, i % zones, rng.choice(list(api.Phase)), rng.choice([0, plain.now]))
+                for i in chosen)))
+        elif rng.random() < 0.02:
+            events.append(rng.choice([api.ListFailed(), api.Listed(True, False, tuple(
+                entry(i, i % zones) for i in range(count)))]))
+        plain.run(rng.choice([S // 10, S, 2 * S]), *events)
+
+
+def test_the_same_events_give_the_same_orders() -> None:
+    assert small().orders == small().orders
+
+
+def test_each_zone_has_its_own_servers_at_listed_weights() -> None:
+    plain = small()
+    for proxy in range(4):
+        assert lines(plain, proxy) == {i: entry(i).weight for i in range(8) if i % 2 == proxy % 2}
+
+
+def test_a_zone_with_more_traffic_borrows_and_a_hopeless_split_falls_back() -> None:
+    plain = small(12)
+    plain.run(2 * S, *[api.Usage(proxy, READS, 20 - 10 * (proxy % 2), 0, S) for proxy in range(4)])
+    assert (len(lines(plain, 0)), len(lines(plain, 1))) == (8, 4)
+    assert len(lines(small(3, zones=4), 0)) == 3
+
+
+def test_a_share_moves_only_by_a_tenth() -> None:
+    plain = small(12)
+    plain.run(2 * S, *[api.Usage(proxy, READS, 21 - 2 * (proxy % 2), 0, S) for proxy in range(4)])
+    assert len(lines(plain, 0)) == 6
+
+
+def test_a_drain_is_withdrawn_at_once_and_before_all_else() -> None:
+    plain = small()
+    orders = plain.tell(api.Listed(False, False, (entry(0, 0, api.Phase.DRAINING),)))
+    assert orders[0] == api.Withdraw(0, True)
+
+
+def test_a_list_that_drops_all_keeps_no_proxy_on_gone_servers_and_recovers() -> None:
+    plain = small()
+    plain.tell(api.Listed(True, False, ()))
+    plain.run(3 * S, api.Listed(True, False, tuple(entry(i, i % 2) for i in range(8))))
+    assert lines(plain, 0) and not plain.shut
+
+
+def test_a_cold_server_gets_a_part_that_grows_and_less_in_an_overload() -> None:
+    plain = small()
+    plain.run(S, *well(), api.Listed(False, False, (entry(0, 0, since=plain.now),)))
+    first = lines(plain, 0)[0]
+    plain.run(5 * S, *well())
+    assert 0 < first < 0.35 and lines(plain, 0)[0] > first
+    plain.run(S, *well(17))
+    assert lines(plain, 0)[0] < first
+
+
+def test_a_failing_server_is_left_out_tried_and_taken_back() -> None:
+    plain = small()
+    plain.run(S, *[met(i, 20, 15 * (i == 0), i % 2) for i in range(8)])
+    assert 0 not in lines(plain, 0)
+    plain.run(4 * S)
+    assert 0 < lines(plain, 0)[0] < 0.2
+    plain.run(4 * S)
+    plain.run(S, *well())
+    assert lines(plain, 0)[0] == entry(0).weight
+
+
+def test_all_failing_alike_puts_nobody_out_and_orders_no_further_tries() -> None:
+    plain = small()
+    plain.run(S, *well(12))
+    assert len(lines(plain, 0)) == 4
+    assert {order.again for order in plain.levels[plain.proxies[0][READS]].values()} == {api.Again.NEVER}
+
+
+def test_further_tries_only_where_failing_servers_cause_the_failures() -> None:
+    plain = small()
+    plain.run(S, *[met(i, 20, 20 * (i == 0), i % 2) for i in range(8)])
+    again = {order.mask: order.again for order in plain.levels[plain.proxies[0][READS]].values()}
+    assert again == {1 << READS: api.Again.ONCE, 1 << WRITES: api.Again.IF_NOT_RUN}
+
+
+def test_a_deduped_flow_that_outlives_its_window_is_not_tried_twice() -> None:
+    brief = group(repeat=api.Repeat.DEDUPED, dedup_window=S)
+    plain = small(groups=(brief, group(utility=3.0, repeat=api.Repeat.NON_RETRIABLE)))
+    plain.run(S, *[met(i, 20, 20 * (i == 0), i % 2) for i in range(8)])
+    assert all(one.again <= api.Again.IF_NOT_RUN for one in plain.levels[plain.proxies[0][READS]].values())
+
+
+def test_late_answers_ease_a_server_but_keep_it() -> None:
+    plain = small()
+    plain.run(S, *[met(i, 20, 0, i % 2, 450 if i == 0 else 100) for i in range(8)])
+    assert 0.5 < lines(plain, 0)[0] / entry(0).weight < 1
+
+
+def test_most_answers_late_block_what_yields_and_let_it_back() -> None:
+    plain = small()
+    plain.run(S, *well(0, 450))
+    table = plain.proxies[0][READS]
+    assert plain.levels[table][1 << READS].allowance < 1 == plain.levels[table][1 << WRITES].allowance
+    for _ in range(60):
+        plain.run(S, *well())
+    assert plain.levels[table][1 << READS].allowance == 1
+
+
+def test_a_cut_zone_uses_what_it_reaches_and_looks_again() -> None:
+    plain = small()
+    plain.run(S, *[met(i, 9, 9, 0) for i in (1, 3, 5, 7)], *[met(i, 9, 0, 0) for i in (0, 2, 4, 6)])
+    assert set(lines(plain, 0)) == {0, 2, 4, 6}
+    plain.run(5 * S)
+    assert lines(plain, 0)[1] < entry(1).weight / 5
+
+
+def test_one_borrowed_server_that_dies_is_no_cut() -> None:
+    plain = small()
+    plain.run(S, met(1, 9, 9, 0), *[met(i, 9, 0, i % 2) for i in (0, 2, 3, 4, 5, 6, 7)])
+    assert not plain.module.cut
+
+
+def test_a_zone_dealt_under_three_servers_uses_all() -> None:
+    plain = small(12)
+    plain.run(2 * S, *[api.Usage(proxy, READS, 20 - 18 * (proxy % 2), 0, S) for proxy in range(4)])
+    assert len(lines(plain, 0)) == len(lines(plain, 1)) == 12
+
+
+def test_a_new_stream_is_bound_anew_also_without_a_leave() -> None:
+    plain = small()
+    assert any(isinstance(order, api.Bind) for order in plain.tell(api.Joined(0, 0, 5.0, False)))
+    plain.tell(api.Left(0), api.Left(0), api.Applied(3, S, 0), api.Due(10**6), met(99, 3, 3))
+
+
+def test_a_failed_list_call_is_made_again_with_spacing() -> None:
+    plain = small(must_watch=True)
+    calls = 0
+    plain.tell(api.ListFailed())
+    for _ in range(100):
+        plain.run(S // 10, *([api.ListFailed()] if api.Watch(True) in plain.orders else []))
+        calls += api.Watch(True) in plain.orders
+    assert 2 <= calls <= 8
+
+
+def test_a_single_owner_is_moved_only_when_no_write_can_be_in_hand() -> None:
+    plain = Plain(make_terms(slices=4, single_owner=True), [entry(0), entry(1)])
+    plain.tell(api.Joined(0, 0, 5.0, True), api.Given(2), api.Held(2, 0, 1.0), api.Given(3))
+    assert [one for one in plain.orders if isinstance(one, api.Share)] == [api.Share(3, 1, 2.0)]
+    plain.tables[2][0] = 1.0
+    plain.tell(api.Listed(False, False, (entry(0, 0, api.Phase.DRAINING),)))
+    assert api.Level(2, 0, api.Again.NEVER, 0.0) in plain.orders and plain.tables[2] == {0: 1.0}
+    plain.run(4 * S)
+    assert set(plain.tables[2]) == {1} and not plain.stopped
