--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -56,7 +56,7 @@
 EASE_TRIES = 10
 SHARED_BAD = 0.12
 LEVEL_LEAST = 0.05
-LEVEL_RISE = 1.08
+LEVEL_RISE = 0.5
 LOAD_AIM = 0.9
 
 
@@ -361,7 +361,9 @@
             room *= min(1.0, CALM_TIME * self.budget / took if took else 1.0)
             self.level = max(LEVEL_LEAST, self.level * min(0.95, max(0.4, room)))
         else:
-            self.level = min(1.0, self.level * min(2.0, max(LEVEL_RISE, room)))
+            # What was delivered says little when more proxies have come since: headroom alone lets it rise.
+            headroom = 1.0 - took / (CALM_TIME * self.budget)
+            self.level = min(1.0, self.level * min(2.0, max(1.0 + LEVEL_RISE * headroom, room)))
 
     # The design's ordinary path
 
--- a/tests/plain.py
+++ b/tests/plain.py
@@ -125,7 +125,8 @@
                 for order in self.levels[table].values():
                     if order.mask & 1 << WRITES:
                         assert order.again <= api.Again.IF_NOT_RUN, "a flow could run twice"
-            if self.terms.slices or tables and all(self.reached(table) for table in tables.values()) or not self.ready():
+            served = self.terms.slices or tables and all(map(self.reached, tables.values()))
+            if served or not self.ready():
                 self.bare_since[proxy] = self.now
             assert self.now - self.bare_since.setdefault(proxy, self.now) <= 2 * S, f"proxy {proxy} is bare"
             assert len(self.written[proxy]) <= (self.terms.message_limit or 1 << 30), "messages"
