--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -14,50 +14,29 @@
 from ambershift import interface as api
 
 SECOND = 1_000_000_000
+BEAT = SECOND // 10
 # Reports can wait for the next beat; these can't.
 PROMPT = (api.Born, api.Listed, api.Joined, api.Due, api.Given)
-BEAT = SECOND // 10
-TRAFFIC_WINDOW = 30 * SECOND
-SHARE_MOVE = 0.1
-OVERLOAD_LIMIT = 0.2
-OVERLOAD_CALM = 0.15
-LINES_LEAST = 3
-
-# Half of the limit is kept free at all times: a slow channel and a burst of withdrawals must both fit.
-QUEUE_PART = 0.4
-SLOW_CHANNEL = 0.6
+
+# The ordinary path: the design's starting values, and the least lines with which a zone table is safe.
+TRAFFIC_WINDOW, SHARE_MOVE, LINES_LEAST = 30 * SECOND, 0.1, 3
+OVERLOAD_LIMIT, OVERLOAD_CALM = 0.2, 0.15
+# Over half of the channel stays free: a slow channel and a burst of withdrawals must both fit.
+QUEUE_PART, SLOW_CHANNEL = 0.4, 0.6
 # Parts of a proxy's messages that orders may use: ordinary ones, those that end bareness, drains.
 ORDINARY, PRESSING, BINDING = 0.6, 0.8, 1.0
-
-SAMPLES = 40
-EVIDENCE = 5 * SECOND // 2
-EVIDENCE_TRIES = 5
-BAD_SHARE = 0.3
-CUT_SHARE = 0.6
-CUT_SERVERS = 2
-OUT_MOST = 0.34
-SPELL = 4 * SECOND
-TRIAL_PART = 0.1
-TRIAL_TRIES = 3
-COLD_STEP = 0.05
-COLD_BEAT = 2 * SECOND
-COLD_MARGIN = 0.33
-COLD_WARY = 0.4
-GOOD_SHARE = 0.85
-
-CALM_TIME = 0.38
-BUSY_TIME = 0.55
-LATE = 0.6
-LATE_PEERS = 2.0
-EASE_STEP = 0.75
-EASED_LEAST = 0.5
-EASE_SPELL = 60 * SECOND
-EASE_EVIDENCE = 5 * SECOND
-EASE_TRIES = 10
-SHARED_BAD = 0.12
-LEVEL_LEAST = 0.05
-LEVEL_RISE = 0.5
-LOAD_AIM = 0.9
+# Health: what counts as evidence, as failing and as a cut, and how what is out is tried again.
+SAMPLES, EVIDENCE, EVIDENCE_TRIES = 40, 5 * SECOND // 2, 5
+BAD_SHARE, CUT_SHARE, CUT_SERVERS, OUT_MOST = 0.3, 0.6, 2, 0.34
+SPELL, TRIAL_PART, TRIAL_TRIES = 4 * SECOND, 0.1, 3
+# Servers weaker than listed: times are parts of the latency budget, or multiples of the peers' time.
+LATE, LATE_PEERS, EASE_STEP, EASED_LEAST = 0.6, 2.0, 0.75, 0.5
+EASE_SPELL, EASE_EVIDENCE, EASE_TRIES = 60 * SECOND, 5 * SECOND, 10
+# Cold servers.
+COLD_STEP, COLD_BEAT, COLD_MARGIN, COLD_WARY, GOOD_SHARE = 0.05, 2 * SECOND, 0.33, 0.4, 0.85
+# Overload: from when further tries stop and from when flows are blocked, as parts of the latency budget.
+BUSY_TIME, CALM_TIME, SHARED_BAD = 0.55, 0.38, 0.12
+LEVEL_LEAST, LEVEL_RISE, LOAD_AIM, DELIVERED_SAMPLES = 0.05, 0.5, 0.9, 60
 
 
 class Chance:
@@ -79,9 +58,8 @@
 
 class Proxy:
     def __init__(self, zone: int) -> None:
-        self.zone = zone
+        self.zone, self.joined = zone, True
         self.table: int | None = None
-        self.joined = True
         self.usage: deque[tuple[int, int]] = deque()
         self.messages: deque[int] = deque(maxlen=SAMPLES)
 
@@ -117,8 +95,7 @@
         self.drain_per_ns = terms.lines_per_s * SLOW_CHANNEL / SECOND
         self.head, self.queue_most = terms.head, terms.waiting_limit * QUEUE_PART
         self.message_limit, self.message_span = terms.message_limit or 1 << 30, terms.message_span
-        self.fresh = 5 * terms.report_period // 4
-        self.settle = terms.way + 2 * terms.report_period
+        self.fresh, self.settle = 5 * terms.report_period // 4, terms.way + 2 * terms.report_period
         self.budget = min(group.budget for group in terms.groups)
         self.levels_heeded = terms.levels == "fraction"
         # Groups alike in whether they may run twice and whether they yield in an overload share a mask.
@@ -131,23 +108,18 @@
             kind = safe, density[at] < max(density)
             kinds[kind] = kinds.get(kind, 0) | 1 << at
         self.masks = {mask: kind for kind, mask in kinds.items()}
-        self.servers: dict[int, Server] = {}
-        self.proxies: dict[int, Proxy] = {}
+        self.servers, self.proxies = dict[int, Server](), dict[int, Proxy]()
         self.laid: dict[int, dict[int, float]] = {}
         self.laid_levels: dict[int, dict[int, tuple[api.Again, float]]] = {}
         self.shut: set[int] = set()
-        self.ill: dict[int, Spell] = {}
-        self.cut: dict[tuple[int, int], Spell] = {}
+        self.ill, self.cut = dict[int, Spell](), dict[tuple[int, int], Spell]()
         self.eased: dict[int, tuple[float, int]] = {}
-        self.share: dict[int, float] = {}
-        self.fallback = False
+        self.share, self.fallback = dict[int, float](), False
         self.heard, self.judged_at, self.good_share = False, self.now, 0.5
-        self.level_at = self.now - self.settle
-        self.delivered: deque[float] = deque(maxlen=60)
-        self.level, self.again = 1.0, api.Again.IF_NOT_RUN
+        self.level, self.level_at, self.again = 1.0, self.now - self.settle, api.Again.IF_NOT_RUN
+        self.delivered: deque[float] = deque(maxlen=DELIVERED_SAMPLES)
         self.queue, self.queue_at = 0.0, self.now
-        self.held: dict[int, dict[int, float]] = {}
-        self.stopped: dict[int, int] = {}
+        self.held, self.stopped = dict[int, dict[int, float]](), dict[int, int]()
         self.sliced, self.single_owner = terms.slices > 0, terms.single_owner
         # After this long without our leave no proxy writes to an owner and none has a write in hand there.
         self.handover = terms.in_hand + max(terms.lease, terms.way_most) + SECOND
@@ -212,9 +184,7 @@
             known.entry = entry
 
     def join(self, event: api.Joined) -> None:
-        known = self.proxies.get(event.proxy)
-        if known is None:
-            known = self.proxies[event.proxy] = Proxy(event.zone)
+        known = self.proxies.setdefault(event.proxy, Proxy(event.zone))
         # A new stream knows none of our orders, also when the old one's end was never told.
         known.zone, known.joined, known.table = event.zone, True, None
         known.messages.clear()
@@ -303,20 +273,14 @@
         self.set_level(busy or took > CALM_TIME * self.budget, took, tries, good)
 
     def across(self, pair: tuple[int, int], since: int) -> tuple[int, int, int]:
-        """Tries, bad ones and servers that fail, from one zone's proxies to another's servers.
-
-        Servers known as ill are left out: one borrowed server that died looked like a cut of its zone.
-        """
+        """Tries, bad ones and failing servers from a zone to another; a server known as ill is no cut."""
         met = [self.recent(server, since, pair[0]) for index, server in self.ready()
                if server.entry.zone == pair[1] and index not in self.ill]
         failing = sum(1 for tries, bad, _ in met if tries and bad > CUT_SHARE * tries)
         return sum(one[0] for one in met), sum(one[1] for one in met), failing
 
     def find_cuts(self) -> None:
-        """Find zones that can't reach another zone's servers, while tries elsewhere go well.
-
-        It answers any trouble between two zones, a lost zone too; bad everywhere is overload and no cut.
-        """
+        # It answers any trouble between two zones, a lost zone too; bad everywhere is overload and no cut.
         met = {(near, far): self.across((near, far), self.now - EVIDENCE)
                for near in sorted(self.share) for far in range(self.zones)}
         tries, bad = sum(one[0] for one in met.values()), sum(one[1] for one in met.values())
@@ -331,11 +295,8 @@
                 del self.cut[pair]
 
     def ease(self) -> None:
-        """Lessen the line of a server that answers too late while its peers don't, a step at a time.
-
-        It answers a listed weight that is too high and any slowness of one server; with many slow it
-        stops, for then lessening one only loads the rest.
-        """
+        """Lessen the line of a server that answers late while its peers don't: it is weaker than listed."""
+        # Many slow are an overload, in which lessening one only loads the rest: hence the peers and a cap.
         seen = {index: self.recent(server, self.now - EASE_EVIDENCE) for index, server in self.ready()}
         usual = median([one[2] for one in seen.values() if one[0]] or [0.0])
         for index, (tries, _, took) in seen.items():
@@ -499,8 +460,8 @@
             for index, weight in laid.items():
                 entry = self.servers[index].entry
                 most = entry.weight * self.warmth(entry.since)
-                if weight > most > 0 and entry.phase == api.Phase.READY and (
-                        self.afford(self.users(table), 1, PRESSING)):
+                over = weight > most > 0 and entry.phase == api.Phase.READY
+                if over and self.afford(self.users(table), 1, PRESSING):
                     laid[index] = most
                     self.orders.append(api.Share(table, index, most))
 
@@ -513,13 +474,11 @@
         changes += [(index, 0.0) for index in laid if index not in wanted]
         bare = not any(index in laid and index not in self.shut for index in wanted)
         for index, weight in changes:
-            if not self.afford(users, 1, PRESSING if bare else ORDINARY):
-                continue
-            self.orders.append(api.Share(table, index, weight))
-            if weight:
+            if self.afford(users, 1, PRESSING if bare else ORDINARY):
+                self.orders.append(api.Share(table, index, weight))
                 laid[index] = weight
-            else:
-                del laid[index]
+                if not weight:
+                    del laid[index]
         levels = self.laid_levels.setdefault(table, {})
         for mask, (safe, yields) in self.masks.items():
             again = self.again if safe else min(self.again, api.Again.IF_NOT_RUN)
@@ -543,11 +502,9 @@
     # Sites with slices
 
     def tend_slices(self) -> None:
-        """Give each slice in our charge the server that holds least, and leave it there while it is ready.
-
-        A single owner is moved in two steps, against writes at two servers: all flows of the slice stop,
-        and the next owner comes only when no write can still be in hand at the old one.
-        """
+        """Give each slice in our charge the server that holds least, and leave it there while it is ready."""
+        # A single owner moves in two steps, against writes at two servers: the slice's flows stop, and the
+        # next owner comes only when no write can be in hand at the old one.
         everyone = [proxy for proxy, _ in self.joined()]
         ready = self.usable()
         load = {index: sum(index in lines for lines in self.held.values()) for index in ready}
