Let all share all while one zone's servers answer late and another's don't

Cause: the zone that lost them had 1.0-2.9 s answers while the other zone's servers stood at 60-200 ms; the 30 s share can't see it. Told from overload by the other zone's calm.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -20,7 +20,7 @@
 
 # The ordinary path: the design's starting values, and the least lines with which a zone table is safe.
 TRAFFIC_WINDOW, SHARE_MOVE, LINES_LEAST = 30 * SECOND, 0.1, 3
-OVERLOAD_LIMIT, OVERLOAD_CALM = 0.2, 0.15
+OVERLOAD_LIMIT, OVERLOAD_CALM, SPREAD_SPELL = 0.2, 0.15, 10 * SECOND
 # Over half of the channel stays free: a slow channel and a burst of withdrawals must both fit.
 QUEUE_PART, SLOW_CHANNEL = 0.4, 0.6
 # Parts of a proxy's messages that orders may use: ordinary ones, those that end bareness, drains.
@@ -114,7 +114,7 @@
         self.shut: set[int] = set()
         self.ill, self.cut = dict[int, Spell](), dict[tuple[int, int], Spell]()
         self.eased: dict[int, tuple[float, int]] = {}
-        self.share, self.fallback = dict[int, float](), False
+        self.share, self.fallback, self.spread_until = dict[int, float](), False, 0
         self.heard, self.judged_at, self.good_share = False, self.now, 0.5
         self.level, self.level_at, self.again = 1.0, self.now - self.settle, api.Again.IF_NOT_RUN
         self.delivered: deque[float] = deque(maxlen=DELIVERED_SAMPLES)
@@ -263,6 +263,12 @@
         good = tries - sum(one[1] for one in fresh.values())
         self.good_share = good / tries
         took = median([one[2] for one in fresh.values() if one[0]])
+        # A zone's share lags behind a jump of its traffic or a loss in it; as long as its servers are late
+        # and another zone's aren't, all share all. It moves no weight, and rests where all zones are late.
+        times = [median([seen[index][2] for index in lines if index in seen and seen[index][0]] or [0.0])
+                 for zone, lines in self.laid.items() if zone != self.zones and self.users(zone)]
+        if times and max(times) > max(BUSY_TIME * self.budget, LATE_PEERS * min(times)):
+            self.spread_until = self.now + SPREAD_SPELL
         busy = took > BUSY_TIME * self.budget or usual > SHARED_BAD
         # A further try after a time-out runs the flow twice, so most failures must come from servers that
         # fail while their peers do well; with all busy it would feed the overload, as one after a refusal.
@@ -390,7 +396,7 @@
             del near[small[0][1]]
             lines = self.deal(parts, near)
         zoneless = -1 in near or any(self.servers[index].entry.zone < 0 for index in parts)
-        if not self.fallback and not zoneless and len(parts) >= self.zones:
+        if self.now >= self.spread_until and not self.fallback and not zoneless and len(parts) >= self.zones:
             apart |= {zone: {index: weigh[index] for index in lines[zone]} for zone in near}
         return apart if apart.keys() >= shares.keys() else apart | {self.zones: weigh}
 
