--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -5,8 +5,6 @@
 event is `Born`; the module wakes itself by `Wake`. docs/design.md tells which part comes from where.
 """
 
-from __future__ import annotations
-
 from collections import deque
 from collections.abc import Sequence
 from statistics import median
@@ -32,7 +30,7 @@
 # Servers weaker than listed: times are parts of the latency budget, or multiples of the peers' time.
 LATE, LATE_PEERS, EASE_STEP, EASED_LEAST = 0.6, 2.0, 0.75, 0.5
 EASE_SPELL, EASE_EVIDENCE, EASE_TRIES = 60 * SECOND, 5 * SECOND, 10
-# Cold servers.
+# Cold servers: steps, and how much less they get while failures may fall on them.
 COLD_STEP, COLD_BEAT, COLD_MARGIN, COLD_WARY, GOOD_SHARE = 0.05, 2 * SECOND, 0.33, 0.4, 0.85
 # Overload: from when further tries stop and from when flows are blocked, as parts of the latency budget.
 BUSY_TIME, CALM_TIME, SHARED_BAD = 0.55, 0.38, 0.12
@@ -173,10 +171,7 @@
                 if index not in listed:
                     server.entry = server.entry._replace(phase=api.Phase.GONE)
         for entry in event.entries:
-            known = self.servers.get(entry.server)
-            if known is None:
-                self.servers[entry.server] = Server(entry)
-                continue
+            known = self.servers.setdefault(entry.server, Server(entry))
             if entry.since != known.entry.since:
                 # A new start: what the old process did wrong says nothing about the new one.
                 self.ill.pop(entry.server, None)
@@ -263,8 +258,8 @@
         good = tries - sum(one[1] for one in fresh.values())
         self.good_share = good / tries
         took = median([one[2] for one in fresh.values() if one[0]])
-        # A zone's share lags behind a jump of its traffic or a loss in it; as long as its servers are late
-        # and another zone's aren't, all share all. It moves no weight, and rests where all zones are late.
+        # A zone's share lags behind a jump of its traffic or a loss in it: while its servers are late and
+        # another zone's aren't, all share all.
         times = [median([seen[index][2] for index in lines if index in seen and seen[index][0]] or [0.0])
                  for zone, lines in self.laid.items() if zone != self.zones and self.users(zone)]
         if times and max(times) > max(BUSY_TIME * self.budget, LATE_PEERS * min(times)):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -158,6 +158,15 @@
     assert lines(plain, 0)[1] < entry(1).weight / 5
 
 
+def test_all_share_all_while_one_zone_is_late_and_another_calm() -> None:
+    plain = small()
+    plain.run(S, *[met(i, 20, 0, i % 2, 900 if i % 2 else 100) for i in range(8)])
+    assert len(lines(plain, 0)) == len(lines(plain, 1)) == 8
+    for _ in range(12):
+        plain.run(S, *well())
+    assert len(lines(plain, 0)) == 4
+
+
 def test_one_borrowed_server_that_dies_is_no_cut() -> None:
     plain = small()
     plain.run(S, met(1, 9, 9, 0), *[met(i, 9, 0, i % 2) for i in (0, 2, 3, 4, 5, 6, 7)])
