--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -16,8 +16,8 @@
 # Reports can wait for the next beat; these can't.
 PROMPT = (api.Born, api.Listed, api.Joined, api.Due, api.Given)
 
-# The ordinary path: the design's starting values, and the least lines with which a zone table is safe.
-TRAFFIC_WINDOW, SHARE_MOVE, LINES_LEAST = 30 * SECOND, 0.1, 3
+# The ordinary path: the design's starting values, and the servers' worth with which a zone table is safe.
+TRAFFIC_WINDOW, SHARE_MOVE, WORTH_LEAST = 30 * SECOND, 0.1, 2.5
 OVERLOAD_LIMIT, OVERLOAD_CALM, SPREAD_SPELL = 0.2, 0.15, 10 * SECOND
 # Over half of the channel stays free: a slow channel and a burst of withdrawals must both fit.
 QUEUE_PART, SLOW_CHANNEL = 0.4, 0.6
@@ -32,6 +32,7 @@
 EASE_SPELL, EASE_EVIDENCE, EASE_TRIES = 60 * SECOND, 5 * SECOND, 10
 # Cold servers: steps, and how much less they get while failures may fall on them.
 COLD_STEP, COLD_BEAT, COLD_MARGIN, COLD_WARY, GOOD_SHARE = 0.05, 2 * SECOND, 0.33, 0.4, 0.85
+CALM_SPELL = 10 * SECOND
 # Overload: from when further tries stop and from when flows are blocked, as parts of the latency budget.
 BUSY_TIME, CALM_TIME, SHARED_BAD = 0.55, 0.38, 0.12
 LEVEL_LEAST, LEVEL_RISE, LOAD_AIM, DELIVERED_SAMPLES = 0.05, 0.5, 0.9, 60
@@ -113,7 +114,7 @@
         self.ill, self.cut = dict[int, Spell](), dict[tuple[int, int], Spell]()
         self.eased: dict[int, tuple[float, int]] = {}
         self.share, self.fallback, self.spread_until = dict[int, float](), False, 0
-        self.heard, self.judged_at, self.good_share = False, self.now, 0.5
+        self.heard, self.judged_at, self.calm_at, self.good_share = False, self.now, self.now, 0.5
         self.level, self.level_at, self.again = 1.0, self.now - self.settle, api.Again.IF_NOT_RUN
         self.delivered: deque[float] = deque(maxlen=DELIVERED_SAMPLES)
         self.queue, self.queue_at = 0.0, self.now
@@ -194,8 +195,9 @@
         age = max(0, self.now - self.now % COLD_BEAT - since)
         part = self.cold_share + (1 - self.cold_share) * age / self.cold
         # Tries that fail come again, here and at clients, and look for whoever still takes work: in an
-        # overload, or while one may tip over again, a fair part can be many times what a cold server stands.
-        if self.level < 1.0 or self.good_share < GOOD_SHARE:
+        # overload, or where one may come, a fair part can be many times what a cold server stands. A
+        # controller that has just been born knows nothing of the overload that its proxies bring along.
+        if self.now < self.calm_at + CALM_SPELL:
             part *= COLD_WARY * min(1.0, self.cold_safe * self.good_share)
         return max(COLD_STEP, int(part / COLD_STEP) * COLD_STEP)
 
@@ -257,6 +259,8 @@
             return
         good = tries - sum(one[1] for one in fresh.values())
         self.good_share = good / tries
+        if self.level < 1.0 or self.good_share < GOOD_SHARE:
+            self.calm_at = self.now
         took = median([one[2] for one in fresh.values() if one[0]])
         # A zone's share lags behind a jump of its traffic or a loss in it: while its servers are late and
         # another zone's aren't, all share all.
@@ -277,7 +281,8 @@
         """Tries, bad ones and failing servers from a zone to another; a server known as ill is no cut."""
         met = [self.recent(server, since, pair[0]) for index, server in self.ready()
                if server.entry.zone == pair[1] and index not in self.ill]
-        failing = sum(1 for tries, bad, _ in met if tries and bad > CUT_SHARE * tries)
+        # Late answers are answers: overloaded servers of another zone looked like a cut.
+        failing = sum(bad > CUT_SHARE * tries and took < LATE * self.budget for tries, bad, took in met)
         return sum(one[0] for one in met), sum(one[1] for one in met), failing
 
     def find_cuts(self) -> None:
@@ -353,7 +358,7 @@
         """Each zone keeps its own servers up to its due and borrows from what others have left."""
         total = sum(parts.values())
         due = {zone: share * total / sum(shares.values()) for zone, share in shares.items()}
-        got = dict.fromkeys(shares, 0.0)
+        got = self.got = dict.fromkeys(shares, 0.0)
         lines: dict[int, list[int]] = {zone: [] for zone in shares}
         spare = []
         for index in sorted(parts, key=lambda index: (-parts[index], index)):
@@ -382,12 +387,13 @@
         weigh = {index: self.servers[index].entry.weight * part for index, part in parts.items()}
         # A zone that is cut off has a table of all that it reaches; the others are dealt without it.
         reached = {zone: self.reach(zone, weigh) for zone, _ in sorted(self.cut) if zone in shares}
-        apart = {zone: lines for zone, lines in reached.items() if lines}
+        # With less than three servers' worth of lines one sick server is much of a zone, and cold ones would
+        # take all of a traffic that its share may not show yet: such a zone uses the table of all servers.
+        worth = {zone: sum(parts[index] for index in lines) for zone, lines in reached.items()}
+        apart = {zone: lines for zone, lines in reached.items() if worth[zone] >= WORTH_LEAST}
         near = {zone: share for zone, share in shares.items() if zone not in apart}
         lines = self.deal(parts, near)
-        # With fewer lines one sick server is a third of a zone and all repeats fall on what is left: such a
-        # zone uses the table of all servers, and the rest is dealt without it.
-        while small := sorted((len(lines[zone]), zone) for zone in near if len(lines[zone]) < LINES_LEAST):
+        while small := sorted((had, zone) for zone, had in self.got.items() if had < WORTH_LEAST):
             del near[small[0][1]]
             lines = self.deal(parts, near)
         zoneless = -1 in near or any(self.servers[index].entry.zone < 0 for index in parts)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -94,6 +94,11 @@
 
 def test_a_cold_server_gets_a_part_that_grows_and_less_in_an_overload() -> None:
     plain = small()
+    plain.tell(api.Listed(False, False, (entry(0, 0, since=plain.now),)))
+    assert lines(plain, 0)[0] < 0.1, "a controller just born is wary"
+    plain = small()
+    for _ in range(11):
+        plain.run(S, *well())
     plain.run(S, *well(), api.Listed(False, False, (entry(0, 0, since=plain.now),)))
     first = lines(plain, 0)[0]
     plain.run(5 * S, *well())
@@ -158,6 +163,16 @@
     assert lines(plain, 0)[1] < entry(1).weight / 5
 
 
+def test_an_overloaded_zone_and_a_zone_of_cold_servers_are_no_reason_to_part() -> None:
+    plain = small()
+    plain.run(S, *[met(i, 9, 8, 0, 900) for i in (1, 3, 5, 7)], *[met(i, 9, 0, 0) for i in (0, 2, 4, 6)])
+    assert not plain.module.cut
+    plain = small()
+    plain.run(S, api.Listed(False, False, tuple(entry(i, 0, since=plain.now) for i in (0, 2, 4, 6))))
+    plain.run(S, *[met(i, 9, 9, 0) for i in (1, 3, 5, 7)], *[met(i, 9, 0, 0) for i in (0, 2, 4, 6)])
+    assert plain.module.cut and any(i % 2 for i in lines(plain, 0))
+
+
 def test_all_share_all_while_one_zone_is_late_and_another_calm() -> None:
     plain = small()
     plain.run(S, *[met(i, 20, 0, i % 2, 900 if i % 2 else 100) for i in range(8)])
