Give a cold server no line in an overload until it stands twice its full load

It also covers returns of whole zones in an overload; it costs capacity for some seconds where the overload would have ended by their return.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -30,9 +30,9 @@
 # Servers weaker than listed: times are parts of the latency budget, or multiples of the peers' time.
 LATE, LATE_PEERS, EASE_STEP, EASED_LEAST = 0.6, 2.0, 0.75, 0.5
 EASE_SPELL, EASE_EVIDENCE, EASE_TRIES = 60 * SECOND, 5 * SECOND, 10
-# Cold servers: steps, and how much less they get while failures may fall on them.
-COLD_STEP, COLD_BEAT, COLD_MARGIN, COLD_WARY, GOOD_SHARE = 0.05, 2 * SECOND, 0.33, 0.4, 0.85
-CALM_SPELL = 10 * SECOND
+# Cold servers: their steps, and when they get a line while failures may fall on them.
+COLD_STEP, COLD_BEAT, COLD_WARY, FIRM_LOAD = 0.05, 2 * SECOND, 0.4, 2.2
+GOOD_SHARE, CALM_SPELL = 0.85, 10 * SECOND
 # Overload: from when further tries stop and from when flows are blocked, as parts of the latency budget.
 BUSY_TIME, CALM_TIME, SHARED_BAD = 0.55, 0.38, 0.12
 LEVEL_LEAST, LEVEL_RISE, LOAD_AIM, DELIVERED_SAMPLES = 0.05, 0.5, 0.9, 60
@@ -90,7 +90,7 @@
         self.watch_gap, self.watch_gap_most = SECOND, terms.told_after // 3
         self.only_draining_binds = terms.only_draining_binds
         self.cold, self.cold_share = terms.cold, terms.cold_share
-        self.cold_safe = terms.fall_multiple * COLD_MARGIN
+        self.firm = min(0.9, FIRM_LOAD / terms.fall_multiple)
         self.drain_per_ns = terms.lines_per_s * SLOW_CHANNEL / SECOND
         self.head, self.queue_most = terms.head, terms.waiting_limit * QUEUE_PART
         self.message_limit, self.message_span = terms.message_limit or 1 << 30, terms.message_span
@@ -173,8 +173,7 @@
                     server.entry = server.entry._replace(phase=api.Phase.GONE)
         for entry in event.entries:
             known = self.servers.setdefault(entry.server, Server(entry))
-            if entry.since != known.entry.since:
-                # A new start: what the old process did wrong says nothing about the new one.
+            if entry.since != known.entry.since:  # What the old process did says nothing of the new one.
                 self.ill.pop(entry.server, None)
                 known.met.clear()
             known.entry = entry
@@ -194,12 +193,12 @@
         # All cold servers take their steps at one time, else each would cost its proxies messages of its own.
         age = max(0, self.now - self.now % COLD_BEAT - since)
         part = self.cold_share + (1 - self.cold_share) * age / self.cold
-        # Tries that fail come again, here and at clients, and look for whoever still takes work: in an
-        # overload, or where one may come, a fair part can be many times what a cold server stands. A
-        # controller that has just been born knows nothing of the overload that its proxies bring along.
+        # Proxies that avoid all servers that failed them send all they have to the one line left: in an
+        # overload a cold server gets no line until it stands twice its full load. A controller just born
+        # knows nothing of the overload that its proxies bring along.
         if self.now < self.calm_at + CALM_SPELL:
-            part *= COLD_WARY * min(1.0, self.cold_safe * self.good_share)
-        return max(COLD_STEP, int(part / COLD_STEP) * COLD_STEP)
+            part = COLD_WARY * part if part >= self.firm else 0.0
+        return int(part / COLD_STEP) * COLD_STEP
 
     def usable(self) -> dict[int, float]:
         """Ready servers and the part of each that counts: cold ones and those on trial count in part."""
@@ -207,9 +206,9 @@
         for index, server in self.ready():
             spell = self.ill.get(index)
             part = self.warmth(server.entry.since) * self.eased.get(index, (1.0, 0))[0]
-            if spell is None or spell.trial:
+            if part and (spell is None or spell.trial):
                 parts[index] = min(part, TRIAL_PART) if spell else part
-        return parts
+        return parts or dict.fromkeys(dict(self.ready()), COLD_STEP)
 
     def ready(self) -> list[tuple[int, Server]]:
         return [(index, server) for index, server in self.servers.items()
@@ -232,9 +231,8 @@
 
     def judge(self) -> None:
         """Keep out servers that fail far more than their peers; all failing alike is overload."""
-        since = self.now - EVIDENCE
         self.find_cuts()
-        seen = {index: self.recent(server, since) for index, server in self.ready()}
+        seen = {index: self.recent(server, self.now - EVIDENCE) for index, server in self.ready()}
         # Few tries count here too: while most is blocked, only servers that fail might be met often.
         usual = median([bad / tries for tries, bad, _ in seen.values() if tries] or [0.0])
         # Late answers tell of load, not of illness: a server put out for them only moves the load on.
@@ -243,20 +241,17 @@
         self.ease()
         bound = max(BAD_SHARE, 3 * usual)
         for index in sorted(shares, key=lambda index: (-shares[index], index)):
-            room = len(self.ill) + 1 <= OUT_MOST * len(seen)
-            if index not in self.ill and shares[index] >= bound and room:
+            if index not in self.ill and shares[index] >= bound and len(self.ill) + 1 <= OUT_MOST * len(seen):
                 self.ill[index] = Spell(self.now)
         for index, spell in list(self.ill.items()):
             tries, bad, _ = self.recent(self.servers[index], spell.until + self.settle)
             if spell.over(self.now, tries, bad, bound):
                 del self.ill[index]
-                # What it did before the trial must not be held against it again.
-                self.servers[index].met.clear()
+                self.servers[index].met.clear()  # What it did before must not be held against it again.
         fresh = {index: self.recent(server, self.now - self.fresh) for index, server in self.ready()}
         tries = sum(one[0] for one in fresh.values())
         if not tries:
-            self.set_level(False, 0.0, 0, 0)
-            return
+            return self.set_level(False, 0.0, 0, 0)
         good = tries - sum(one[1] for one in fresh.values())
         self.good_share = good / tries
         if self.level < 1.0 or self.good_share < GOOD_SHARE:
@@ -286,7 +281,7 @@
         return sum(one[0] for one in met), sum(one[1] for one in met), failing
 
     def find_cuts(self) -> None:
-        # It answers any trouble between two zones, a lost zone too; bad everywhere is overload and no cut.
+        # It covers any trouble between two zones, a lost zone too; bad everywhere is overload and no cut.
         met = {(near, far): self.across((near, far), self.now - EVIDENCE)
                for near in sorted(self.share) for far in range(self.zones)}
         tries, bad = sum(one[0] for one in met.values()), sum(one[1] for one in met.values())
@@ -385,10 +380,9 @@
         if not parts or not shares:
             return {}
         weigh = {index: self.servers[index].entry.weight * part for index, part in parts.items()}
-        # A zone that is cut off has a table of all that it reaches; the others are dealt without it.
         reached = {zone: self.reach(zone, weigh) for zone, _ in sorted(self.cut) if zone in shares}
-        # With less than three servers' worth of lines one sick server is much of a zone, and cold ones would
-        # take all of a traffic that its share may not show yet: such a zone uses the table of all servers.
+        # With less worth of lines one sick server is much of a zone, and cold ones would take a traffic that
+        # its share may not show yet: such a zone uses the table of all servers.
         worth = {zone: sum(parts[index] for index in lines) for zone, lines in reached.items()}
         apart = {zone: lines for zone, lines in reached.items() if worth[zone] >= WORTH_LEAST}
         near = {zone: share for zone, share in shares.items() if zone not in apart}
@@ -466,8 +460,8 @@
         for table, laid in self.laid.items():
             for index, weight in laid.items():
                 entry = self.servers[index].entry
-                most = entry.weight * self.warmth(entry.since)
-                over = weight > most > 0 and entry.phase == api.Phase.READY
+                most = entry.weight * max(COLD_STEP, self.warmth(entry.since))
+                over = weight > most and entry.phase == api.Phase.READY
                 if over and self.afford(self.users(table), 1, PRESSING):
                     laid[index] = most
                     self.orders.append(api.Share(table, index, most))
