--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -114,7 +114,7 @@
         self.ill, self.cut = dict[int, Spell](), dict[tuple[int, int], Spell]()
         self.eased: dict[int, tuple[float, int]] = {}
         self.share, self.fallback, self.spread_until = dict[int, float](), False, 0
-        self.heard, self.judged_at, self.calm_at, self.good_share = False, self.now, self.now, 0.5
+        self.heard, self.judged_at, self.calm_at = False, self.now, self.now
         self.level, self.level_at, self.again = 1.0, self.now - self.settle, api.Again.IF_NOT_RUN
         self.delivered: deque[float] = deque(maxlen=DELIVERED_SAMPLES)
         self.queue, self.queue_at = 0.0, self.now
@@ -250,12 +250,12 @@
                 self.servers[index].met.clear()  # What it did before must not be held against it again.
         fresh = {index: self.recent(server, self.now - self.fresh) for index, server in self.ready()}
         tries = sum(one[0] for one in fresh.values())
-        if not tries:
-            return self.set_level(False, 0.0, 0, 0)
         good = tries - sum(one[1] for one in fresh.values())
-        self.good_share = good / tries
-        if self.level < 1.0 or self.good_share < GOOD_SHARE:
+        # Nothing met is no calm either: with all servers beyond a cut the first to return takes every flow.
+        if self.level < 1.0 or good <= GOOD_SHARE * tries:
             self.calm_at = self.now
+        if not tries:
+            return self.set_level(False, 0.0, 0, 0)
         took = median([one[2] for one in fresh.values() if one[0]])
         # A zone's share lags behind a jump of its traffic or a loss in it: while its servers are late and
         # another zone's aren't, all share all.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -107,6 +107,17 @@
     assert 0 not in lines(plain, 0)
 
 
+def test_a_cold_server_is_not_the_only_one_that_a_cut_leaves() -> None:
+    plain = small()
+    for _ in range(15):
+        plain.run(S, *[met(i, 9, 9, 0) for i in (1, 3, 5, 7)], *[met(i, 9, 0, 0) for i in (0, 2, 4, 6)])
+    plain.tell(api.Listed(False, False, tuple(entry(i, 0, api.Phase.GONE) for i in (0, 2, 4, 6))))
+    for _ in range(8):
+        plain.run(S, *[met(i, 9, 9, 0) for i in (1, 3, 5, 7)])
+    plain.tell(api.Listed(False, False, (entry(0, 0, since=plain.now),)))
+    assert 0 not in lines(plain, 0)
+
+
 def test_a_failing_server_is_left_out_tried_and_taken_back() -> None:
     plain = small()
     plain.run(S, *[met(i, 20, 15 * (i == 0), i % 2) for i in range(8)])
