--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -31,8 +31,7 @@
 LATE, LATE_PEERS, EASE_STEP, EASED_LEAST = 0.6, 2.0, 0.75, 0.5
 EASE_SPELL, EASE_EVIDENCE, EASE_TRIES = 60 * SECOND, 5 * SECOND, 10
 # Cold servers: their steps, and when they get a line while failures may fall on them.
-COLD_STEP, COLD_BEAT, COLD_WARY, FIRM_LOAD = 0.05, 2 * SECOND, 0.4, 2.2
-GOOD_SHARE, CALM_SPELL = 0.85, 10 * SECOND
+COLD_STEP, COLD_BEAT, COLD_WARY, FIRM_LOAD, CALM_SPELL = 0.05, 2 * SECOND, 0.4, 2.2, 10 * SECOND
 # Overload: from when further tries stop and from when flows are blocked, as parts of the latency budget.
 BUSY_TIME, CALM_TIME, SHARED_BAD = 0.55, 0.38, 0.12
 LEVEL_LEAST, LEVEL_RISE, LOAD_AIM, DELIVERED_SAMPLES = 0.05, 0.5, 0.9, 60
@@ -193,11 +192,13 @@
         # All cold servers take their steps at one time, else each would cost its proxies messages of its own.
         age = max(0, self.now - self.now % COLD_BEAT - since)
         part = self.cold_share + (1 - self.cold_share) * age / self.cold
-        # Proxies that avoid all servers that failed them send all they have to the one line left: in an
-        # overload a cold server gets no line until it stands twice its full load. A controller just born
-        # knows nothing of the overload that its proxies bring along.
-        if self.now < self.calm_at + CALM_SPELL:
-            part = COLD_WARY * part if part >= self.firm else 0.0
+        # Proxies that avoid all servers that failed them send all they have to the one line left: while
+        # many tries fail a cold server gets no line until it stands twice its full load. A controller just
+        # born knows nothing of the overload that its proxies bring along.
+        if self.now < self.calm_at + CALM_SPELL and part < self.firm:
+            return 0.0
+        if self.now < self.calm_at + CALM_SPELL or self.level < 1.0:
+            part *= COLD_WARY
         return int(part / COLD_STEP) * COLD_STEP
 
     def usable(self) -> dict[int, float]:
@@ -252,7 +253,7 @@
         tries = sum(one[0] for one in fresh.values())
         good = tries - sum(one[1] for one in fresh.values())
         # Nothing met is no calm either: with all servers beyond a cut the first to return takes every flow.
-        if self.level < 1.0 or good <= GOOD_SHARE * tries:
+        if usual > SHARED_BAD or not tries:
             self.calm_at = self.now
         if not tries:
             return self.set_level(False, 0.0, 0, 0)
