Let a controller just born read the level off what its proxies let in

Told from a server trouble by its beginning with each restart while no server was lost. A proxy that held other tables keeps them for up to 3 s after a birth; what it let in of what came gives the level. It could harm if what was held is stale: then for 3 s at most.

--- a/ambershift/benchlink/wire.py
+++ b/ambershift/benchlink/wire.py
@@ -98,6 +98,8 @@
     classes, zones = needed(found, "classes"), needed(found, "zones")
     if not isinstance(classes, list) or not isinstance(zones, list):
         raise WireError("settings: keys 'classes' and 'zones' must be lists")
+    if not classes or not zones:
+        raise WireError("settings: keys 'classes' and 'zones' must not be empty")
     groups = []
     for at, one in enumerate(classes):
         where = f"classes[{at}]."
@@ -117,6 +119,7 @@
         only_draining_binds=bool(rules.get("soft_removal", False)),
         cold=to_ns(number(rules, "cold", 0)), cold_share=number(rules, "cold_share", 1.0),
         fall_multiple=number(rules, "tip_multiple", 4.0),
+        bare_limit=to_ns(number(info, "blackhole", 3000)),
         lines_per_s=number(info, "egress_per_s"), head=number(info, "per_message", 0),
         waiting_limit=number(info, "most_waiting"), message_limit=int(number(info, "messages_most", 0)),
         message_span=to_ns(number(info, "reload_span", 10_000)),
--- a/ambershift/interface.py
+++ b/ambershift/interface.py
@@ -57,6 +57,7 @@
     cold: int
     cold_share: float
     fall_multiple: float
+    bare_limit: int
     lines_per_s: float
     head: float
     waiting_limit: float
--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -35,6 +35,7 @@
 # Overload: from when further tries stop and from when flows are blocked, as parts of the latency budget.
 BUSY_TIME, CALM_TIME, SHARED_BAD = 0.55, 0.38, 0.12
 LEVEL_LEAST, LEVEL_RISE, LOAD_AIM, DELIVERED_SAMPLES = 0.05, 0.5, 0.9, 60
+INHERIT, LET_IN = 3 * SECOND, 0.8
 
 
 class Chance:
@@ -56,9 +57,9 @@
 
 class Proxy:
     def __init__(self, zone: int) -> None:
-        self.zone, self.joined = zone, True
+        self.zone, self.joined, self.held_until = zone, True, 0
         self.table: int | None = None
-        self.usage: deque[tuple[int, int]] = deque()
+        self.usage: deque[tuple[int, int, bool]] = deque()
         self.messages: deque[int] = deque(maxlen=SAMPLES)
 
 
@@ -83,19 +84,18 @@
     """One controller's decisions."""
 
     def start(self, seed: int, terms: api.Terms) -> None:
-        self.chance = Chance(seed)
-        self.zones = terms.zones
+        self.chance, self.zones = Chance(seed), terms.zones
         self.watch_at: int | None = self.now if terms.must_watch else None
         self.watch_gap, self.watch_gap_most = SECOND, terms.told_after // 3
-        self.only_draining_binds = terms.only_draining_binds
+        self.binding = {api.Phase.DRAINING} | (set() if terms.only_draining_binds else {api.Phase.GONE})
         self.cold, self.cold_share = terms.cold, terms.cold_share
         self.firm = min(0.9, FIRM_LOAD / terms.fall_multiple)
         self.drain_per_ns = terms.lines_per_s * SLOW_CHANNEL / SECOND
         self.head, self.queue_most = terms.head, terms.waiting_limit * QUEUE_PART
         self.message_limit, self.message_span = terms.message_limit or 1 << 30, terms.message_span
+        self.hold = min(INHERIT, terms.bare_limit // 2)
         self.fresh, self.settle = 5 * terms.report_period // 4, terms.way + 2 * terms.report_period
-        self.budget = min(group.budget for group in terms.groups)
-        self.levels_heeded = terms.levels == "fraction"
+        self.budget, self.levels_heeded = min(one.budget for one in terms.groups), terms.levels == "fraction"
         # Groups alike in whether they may run twice and whether they yield in an overload share a mask.
         # Work isn't told; the latency budget stands in for it, so those of less utility for it yield.
         density = [group.utility / group.budget for group in terms.groups]
@@ -106,6 +106,7 @@
             kind = safe, density[at] < max(density)
             kinds[kind] = kinds.get(kind, 0) | 1 << at
         self.masks = {mask: kind for kind, mask in kinds.items()}
+        self.yields = [one < max(density) for one in density]
         self.servers, self.proxies = dict[int, Server](), dict[int, Proxy]()
         self.laid: dict[int, dict[int, float]] = {}
         self.laid_levels: dict[int, dict[int, tuple[api.Again, float]]] = {}
@@ -113,15 +114,14 @@
         self.ill, self.cut = dict[int, Spell](), dict[tuple[int, int], Spell]()
         self.eased: dict[int, tuple[float, int]] = {}
         self.share, self.fallback, self.spread_until = dict[int, float](), False, 0
-        self.heard, self.judged_at, self.calm_at = False, self.now, self.now
+        self.heard, self.judged_at, self.calm_at, self.born_at = False, self.now, self.now, self.now
         self.level, self.level_at, self.again = 1.0, self.now - self.settle, api.Again.IF_NOT_RUN
         self.delivered: deque[float] = deque(maxlen=DELIVERED_SAMPLES)
-        self.queue, self.queue_at = 0.0, self.now
+        self.queue, self.queue_at, self.token = 0.0, self.now, 1
         self.held, self.stopped = dict[int, dict[int, float]](), dict[int, int]()
         self.sliced, self.single_owner = terms.slices > 0, terms.single_owner
         # After this long without our leave no proxy writes to an owner and none has a write in hand there.
         self.handover = terms.in_hand + max(terms.lease, terms.way_most) + SECOND
-        self.token = 1
         self.orders.append(api.Wake(BEAT, self.token))
 
     def step(self, now: int, events: Sequence[api.Event]) -> list[api.Order]:
@@ -138,16 +138,13 @@
                     self.watch_gap = min(2 * self.watch_gap, self.watch_gap_most)
                 case api.Joined():
                     self.join(event)
-                case api.Left():
-                    if event.proxy in self.proxies:
-                        self.proxies[event.proxy].joined = False
-                case api.Met():
-                    if event.server in self.servers:
-                        self.servers[event.server].met.append((now, event))
-                        self.heard = True
-                case api.Usage():
-                    if event.proxy in self.proxies:
-                        self.proxies[event.proxy].usage.append((now, event.came))
+                case api.Left() if event.proxy in self.proxies:
+                    self.proxies[event.proxy].joined = False
+                case api.Met() if event.server in self.servers:
+                    self.servers[event.server].met.append((now, event))
+                    self.heard = True
+                case api.Usage() if event.proxy in self.proxies:
+                    self.proxies[event.proxy].usage.append((now, event.came, self.yields[event.group]))
                 case api.Due() if event.token == self.token:
                     self.token += 1
                     self.orders.append(api.Wake(BEAT, self.token))
@@ -163,8 +160,7 @@
         return self.orders
 
     def hear_list(self, event: api.Listed) -> None:
-        if not event.cached:
-            self.watch_gap = SECOND
+        self.watch_gap = SECOND
         if event.whole:
             listed = {entry.server for entry in event.entries}
             for index, server in self.servers.items():
@@ -182,6 +178,9 @@
         # A new stream knows none of our orders, also when the old one's end was never told.
         known.zone, known.joined, known.table = event.zone, True, None
         known.messages.clear()
+        # It may hold the levels of a controller that died in an overload: it keeps them until a report tells.
+        cold = any(self.warmth(server.entry.since) < 1.0 for _, server in self.ready())
+        known.held_until = 0 if event.standing or cold or not self.levels_heeded else self.born_at + self.hold
 
     # What is seen
 
@@ -192,9 +191,8 @@
         # All cold servers take their steps at one time, else each would cost its proxies messages of its own.
         age = max(0, self.now - self.now % COLD_BEAT - since)
         part = self.cold_share + (1 - self.cold_share) * age / self.cold
-        # Proxies that avoid all servers that failed them send all they have to the one line left: while
-        # many tries fail a cold server gets no line until it stands twice its full load. A controller just
-        # born knows nothing of the overload that its proxies bring along.
+        # Proxies that avoid servers that failed them send all to the one line left: while most tries fail,
+        # or may unseen by a controller just born, a cold server waits until it stands twice its full load.
         if self.now < self.calm_at + CALM_SPELL and part < self.firm:
             return 0.0
         if self.now < self.calm_at + CALM_SPELL or self.level < 1.0:
@@ -236,7 +234,7 @@
         seen = {index: self.recent(server, self.now - EVIDENCE) for index, server in self.ready()}
         # Few tries count here too: while most is blocked, only servers that fail might be met often.
         usual = median([bad / tries for tries, bad, _ in seen.values() if tries] or [0.0])
-        # Late answers tell of load, not of illness: a server put out for them only moves the load on.
+        # Late answers tell of load, not of illness; a server put out for them only moves the load on.
         shares = {index: bad / tries for index, (tries, bad, took) in seen.items()
                   if tries >= EVIDENCE_TRIES and took < LATE * self.budget}
         self.ease()
@@ -257,6 +255,12 @@
             self.calm_at = self.now
         if not tries:
             return self.set_level(False, 0.0, 0, 0)
+        inherited = [proxy for _, proxy in self.joined() if self.now < proxy.held_until + INHERIT]
+        came = [one[1:] for proxy in inherited for one in proxy.usage if one[0] >= self.now - self.fresh]
+        if yielding := sum(count for count, yields in came if yields):
+            let_in = (tries - sum(count for count, yields in came if not yields)) / yielding
+            if let_in < LET_IN:
+                self.level = max(LEVEL_LEAST, min(self.level, let_in))
         took = median([one[2] for one in fresh.values() if one[0]])
         # A zone's share lags behind a jump of its traffic or a loss in it: while its servers are late and
         # another zone's aren't, all share all.
@@ -382,8 +386,7 @@
             return {}
         weigh = {index: self.servers[index].entry.weight * part for index, part in parts.items()}
         reached = {zone: self.reach(zone, weigh) for zone, _ in sorted(self.cut) if zone in shares}
-        # With less worth of lines one sick server is much of a zone, and cold ones would take a traffic that
-        # its share may not show yet: such a zone uses the table of all servers.
+        # With less, one sick server is much of a zone, and cold lines would take a traffic not yet seen.
         worth = {zone: sum(parts[index] for index in lines) for zone, lines in reached.items()}
         apart = {zone: lines for zone, lines in reached.items() if worth[zone] >= WORTH_LEAST}
         near = {zone: share for zone, share in shares.items() if zone not in apart}
@@ -430,11 +433,9 @@
     def withdraw(self, out: bool) -> None:
         """Shut out at once, beyond the ordinary budget: a drain has a grace, all else can wait."""
         everyone = [proxy for proxy, _ in self.joined()]
-        binding = {api.Phase.DRAINING} if self.only_draining_binds else {api.Phase.DRAINING, api.Phase.GONE}
         for index, server in self.servers.items():
-            if (index in self.shut) == out or (server.entry.phase in binding) != out:
-                continue
-            if self.afford(everyone, 1, BINDING if out else ORDINARY):
+            due = (index in self.shut) != out and (server.entry.phase in self.binding) == out
+            if due and self.afford(everyone, 1, BINDING if out else ORDINARY):
                 self.shut ^= {index}
                 self.orders.append(api.Withdraw(index, out))
 
@@ -458,12 +459,10 @@
 
     def shrink(self) -> None:
         """Lower the lines of servers that started cold, in each table in use, also in one on its way out."""
-        for table, laid in self.laid.items():
-            for index, weight in laid.items():
-                entry = self.servers[index].entry
-                most = entry.weight * max(COLD_STEP, self.warmth(entry.since))
-                over = weight > most and entry.phase == api.Phase.READY
-                if over and self.afford(self.users(table), 1, PRESSING):
+        for index, server in self.ready():
+            most = server.entry.weight * max(COLD_STEP, self.warmth(server.entry.since))
+            for table, laid in self.laid.items():
+                if laid.get(index, 0.0) > most and self.afford(self.users(table), 1, PRESSING):
                     laid[index] = most
                     self.orders.append(api.Share(table, index, most))
 
@@ -474,9 +473,9 @@
                    if abs(weight - laid.get(index, 0.0)) > 1e-6]
         # Additions before removals: a table cut in two by the budget must never be the emptier for it.
         changes += [(index, 0.0) for index in laid if index not in wanted]
-        bare = not any(index in laid and index not in self.shut for index in wanted)
+        part = ORDINARY if any(index in laid and index not in self.shut for index in wanted) else PRESSING
         for index, weight in changes:
-            if self.afford(users, 1, PRESSING if bare else ORDINARY):
+            if self.afford(users, 1, part):
                 self.orders.append(api.Share(table, index, weight))
                 laid[index] = weight
                 if not weight:
@@ -494,15 +493,14 @@
         for index, proxy in sorted(self.joined(), key=lambda one: (one[1].table is not None, one[0])):
             table = proxy.zone if proxy.zone in tables else self.zones
             lines = self.laid.get(table, {})
-            if proxy.table == table or not any(line not in self.shut for line in lines):
+            ready = any(line not in self.shut for line in lines) and self.now >= proxy.held_until
+            if proxy.table == table or not ready:
                 continue
             cost = 1 + len(lines) + len(self.laid_levels.get(table, ()))
             if self.afford([index], cost, PRESSING if proxy.table is None else ORDINARY):
                 proxy.table = table
                 self.orders.append(api.Bind(index, table, 0))
 
-    # Sites with slices
-
     def tend_slices(self) -> None:
         """Give each slice in our charge the server that holds least, and leave it there while it is ready."""
         # A single owner moves in two steps, against writes at two servers: the slice's flows stop, and the
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -207,10 +207,21 @@
 
 def test_a_new_stream_is_bound_anew_also_without_a_leave() -> None:
     plain = small()
+    plain.run(4 * S)
     assert any(isinstance(order, api.Bind) for order in plain.tell(api.Joined(0, 0, 5.0, False)))
     plain.tell(api.Left(0), api.Left(0), api.Applied(3, S, 0), api.Due(10**6), met(99, 3, 3))
 
 
+def test_a_controller_just_born_reads_the_level_off_what_its_proxies_let_in() -> None:
+    plain = Plain(make_terms(), [entry(i, i % 2) for i in range(8)])
+    plain.tell(api.Joined(0, 0, 5.0, False))
+    assert not plain.proxies[0]
+    came = api.Usage(0, READS, 100, 0, S), api.Usage(0, WRITES, 20, 0, S)
+    plain.run(S, *came, *[met(i, 5, 0) for i in range(8)])
+    plain.run(2 * S)
+    assert plain.levels[plain.proxies[0][READS]][1 << READS].allowance < 0.5
+
+
 def test_a_failed_list_call_is_made_again_with_spacing() -> None:
     plain = small(must_watch=True)
     calls = 0
