--- a/ambershift/interface.py
+++ b/ambershift/interface.py
@@ -67,6 +67,7 @@
     way_most: int
     report_period: int
     levels: str
+    strikes: int
     slices: int
     single_owner: bool
     in_hand: int
