Let withdrawals after the first wait for part of the grace where messages are limited

Now those after the first are gathered over half of the grace less the longest way, and ordinary orders leave half of the messages free. It delays a second drain by at most that; without a message limit nothing waits.

--- a/ambershift/benchlink/wire.py
+++ b/ambershift/benchlink/wire.py
@@ -116,6 +116,7 @@
     return api.Terms(
         zones=len(zones), groups=tuple(groups), must_watch=found.get("discovery") == "subscribe",
         told_after=to_ns(number(rules, "ask_within", 10_000)),
+        grace=to_ns(number(rules, "stop_sending_within", 1000)),
         only_draining_binds=bool(rules.get("soft_removal", False)),
         cold=to_ns(number(rules, "cold", 0)), cold_share=number(rules, "cold_share", 1.0),
         fall_multiple=number(rules, "tip_multiple", 4.0),
--- a/ambershift/interface.py
+++ b/ambershift/interface.py
@@ -53,6 +53,7 @@
     groups: tuple[Group, ...]
     must_watch: bool
     told_after: int
+    grace: int
     only_draining_binds: bool
     cold: int
     cold_share: float
--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -22,7 +22,7 @@
 # Over half of the channel stays free: a slow channel and a burst of withdrawals must both fit.
 QUEUE_PART, SLOW_CHANNEL = 0.4, 0.6
 # Parts of a proxy's messages that orders may use: ordinary ones, those that end bareness, drains.
-ORDINARY, PRESSING, BINDING = 0.6, 0.8, 1.0
+ORDINARY, PRESSING, BINDING = 0.5, 0.65, 1.0
 # Health: what counts as evidence, as failing and as a cut, and how what is out is tried again.
 SAMPLES, EVIDENCE, EVIDENCE_TRIES = 40, 5 * SECOND // 2, 5
 BAD_SHARE, CUT_SHARE, CUT_SERVERS, OUT_MOST = 0.3, 0.6, 2, 0.34
@@ -110,7 +110,8 @@
         self.servers, self.proxies = dict[int, Server](), dict[int, Proxy]()
         self.laid: dict[int, dict[int, float]] = {}
         self.laid_levels: dict[int, dict[int, tuple[api.Again, float]]] = {}
-        self.shut: set[int] = set()
+        self.shut, self.shut_at = set[int](), 0
+        self.shut_gap = max(0, terms.grace - terms.way_most) // 2 if terms.message_limit else 0
         self.ill, self.cut = dict[int, Spell](), dict[tuple[int, int], Spell]()
         self.eased: dict[int, tuple[float, int]] = {}
         self.share, self.fallback, self.spread_until = dict[int, float](), False, 0
@@ -336,19 +337,16 @@
 
     def zone_shares(self) -> dict[int, float]:
         """Each zone's share of our own proxies' traffic, held until one moves by a tenth."""
-        horizon = self.now - TRAFFIC_WINDOW
-        came: dict[int, int] = {}
-        count: dict[int, int] = {}
+        came, count = dict[int, int](), dict[int, int]()
         for _, proxy in self.joined():
-            while proxy.usage and proxy.usage[0][0] < horizon:
+            while proxy.usage and proxy.usage[0][0] < self.now - TRAFFIC_WINDOW:
                 proxy.usage.popleft()
             count[proxy.zone] = count.get(proxy.zone, 0) + 1
             came[proxy.zone] = came.get(proxy.zone, 0) + sum(one[1] for one in proxy.usage)
         reported = sum(count[zone] for zone in count if came[zone])
         each = sum(came.values()) / reported if reported else 1.0
         flow = {zone: came[zone] or each * count[zone] for zone in sorted(count)}
-        total = sum(flow.values())
-        fresh = {zone: flow[zone] / total for zone in flow}
+        fresh = {zone: flow[zone] / sum(flow.values()) for zone in flow}
         if fresh.keys() != self.share.keys() or any(
                 abs(fresh[zone] - self.share[zone]) > SHARE_MOVE * self.share[zone] for zone in fresh):
             self.share = fresh
@@ -356,8 +354,7 @@
 
     def deal(self, parts: dict[int, float], shares: dict[int, float]) -> dict[int, list[int]]:
         """Each zone keeps its own servers up to its due and borrows from what others have left."""
-        total = sum(parts.values())
-        due = {zone: share * total / sum(shares.values()) for zone, share in shares.items()}
+        due = {zone: share * sum(parts.values()) / sum(shares.values()) for zone, share in shares.items()}
         got = self.got = dict.fromkeys(shares, 0.0)
         lines: dict[int, list[int]] = {zone: [] for zone in shares}
         spare = []
@@ -431,12 +428,16 @@
         self.bind(tables)
 
     def withdraw(self, out: bool) -> None:
-        """Shut out at once, beyond the ordinary budget: a drain has a grace, all else can wait."""
+        """Shut out beyond the ordinary budget: a drain has a grace, all else can wait."""
+        # Servers lost one by one would cost a message each: the next ones wait for part of the grace.
+        if out and self.now < self.shut_at:
+            return
         everyone = [proxy for proxy, _ in self.joined()]
         for index, server in self.servers.items():
             due = (index in self.shut) != out and (server.entry.phase in self.binding) == out
             if due and self.afford(everyone, 1, BINDING if out else ORDINARY):
                 self.shut ^= {index}
+                self.shut_at = self.now + self.shut_gap * out
                 self.orders.append(api.Withdraw(index, out))
 
     def afford(self, proxies: list[int], lines: int, part: float) -> bool:
@@ -503,8 +504,7 @@
 
     def tend_slices(self) -> None:
         """Give each slice in our charge the server that holds least, and leave it there while it is ready."""
-        # A single owner moves in two steps, against writes at two servers: the slice's flows stop, and the
-        # next owner comes only when no write can be in hand at the old one.
+        # Against writes at two servers a single owner's slice stops until none can be in hand there.
         everyone = [proxy for proxy, _ in self.joined()]
         ready = self.usable()
         load = {index: sum(index in lines for lines in self.held.values()) for index in ready}
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -85,6 +85,14 @@
     assert orders[0] == api.Withdraw(0, True)
 
 
+def test_servers_lost_one_by_one_do_not_cost_a_message_each() -> None:
+    plain = small(14)
+    for lost in range(8):
+        plain.run(S // 5, api.Listed(False, False, (entry(lost, lost % 2, api.Phase.GONE),)))
+    plain.run(2 * S)
+    assert plain.shut == set(range(8)) and max(map(len, plain.written.values())) <= 9
+
+
 def test_a_list_that_drops_all_keeps_no_proxy_on_gone_servers_and_recovers() -> None:
     plain = small()
     plain.tell(api.Listed(True, False, ()))
