--- a/ambershift/benchlink/wire.py
+++ b/ambershift/benchlink/wire.py
@@ -126,7 +126,7 @@
         message_span=to_ns(number(info, "reload_span", 10_000)),
         way=to_ns(number(info, "late", 0)), way_most=to_ns(number(info, "push_delay_max", 0)),
         report_period=to_ns(number(info, "cycle", 1000)), levels=str(info.get("admit", "silent")),
-        strikes=int(number(info, "strikes", 0)), slices=int(number(info, "slices", 0)),
+        slices=int(number(info, "slices", 0)),
         single_owner=bool(info.get("one_owner", False)),
         in_hand=to_ns(number(info, "in_flight_max", 0)), lease=to_ns(number(info, "tenure", 0)))
 
--- a/ambershift/interface.py
+++ b/ambershift/interface.py
@@ -68,7 +68,6 @@
     way_most: int
     report_period: int
     levels: str
-    strikes: int
     slices: int
     single_owner: bool
     in_hand: int
--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -89,7 +89,7 @@
         self.watch_gap, self.watch_gap_most = SECOND, terms.told_after // 3
         self.binding = {api.Phase.DRAINING} | (set() if terms.only_draining_binds else {api.Phase.GONE})
         self.cold, self.cold_share = terms.cold, terms.cold_share
-        self.firm = min(0.9, FIRM_LOAD / terms.fall_multiple) if terms.strikes else 0.0
+        self.firm = min(0.9, FIRM_LOAD / terms.fall_multiple)
         self.drain_per_ns = terms.lines_per_s * SLOW_CHANNEL / SECOND
         self.head, self.queue_most = terms.head, terms.waiting_limit * QUEUE_PART
         self.message_limit, self.message_span = terms.message_limit or 1 << 30, terms.message_span
