--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -22,7 +22,7 @@
 # Over half of the channel stays free: a slow channel and a burst of withdrawals must both fit.
 QUEUE_PART, SLOW_CHANNEL = 0.4, 0.6
 # Parts of a proxy's messages that orders may use: ordinary ones, those that end bareness, drains.
-ORDINARY, PRESSING, BINDING = 0.5, 0.65, 1.0
+ORDINARY, PRESSING, BINDING = 0.6, 0.75, 1.0
 # Health: what counts as evidence, as failing and as a cut, and how what is out is tried again.
 SAMPLES, EVIDENCE, EVIDENCE_TRIES = 40, 5 * SECOND // 2, 5
 BAD_SHARE, CUT_SHARE, CUT_SERVERS, OUT_MOST = 0.3, 0.6, 2, 0.34
