--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -28,7 +28,7 @@
 BAD_SHARE, CUT_SHARE, CUT_SERVERS, OUT_MOST = 0.3, 0.6, 2, 0.34
 SPELL, TRIAL_PART, TRIAL_TRIES = 4 * SECOND, 0.1, 3
 # Servers weaker than listed: times are parts of the latency budget, or multiples of the peers' time.
-LATE, LATE_PEERS, EASE_STEP, EASED_LEAST, EASED_MOST = 0.6, 2.0, 0.75, 0.5, 0.5
+LATE, LATE_PEERS, EASE_STEP, EASED_LEAST, EASED_MOST = 0.6, 2.0, 0.75, 0.6, 0.5
 EASE_SPELL, EASE_EVIDENCE, EASE_TRIES = 60 * SECOND, 5 * SECOND, 10
 # Cold servers: their steps, and when they get a line while failures may fall on them.
 COLD_STEP, COLD_BEAT, COLD_WARY, FIRM_LOAD, CALM_SPELL = 0.05, 2 * SECOND, 0.4, 2.2, 10 * SECOND
