--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -99,14 +99,14 @@
         # Groups alike in whether they may run twice and whether they yield in an overload share a mask.
         # Work isn't told; the latency budget stands in for it, so those of less utility for it yield.
         density = [group.utility / group.budget for group in terms.groups]
+        self.yields = [one < max(density) for one in density]
         kinds: dict[tuple[bool, bool], int] = {}
         for at, group in enumerate(terms.groups):
             lasting = group.dedup_everywhere and group.dedup_window >= group.expiry
             safe = group.repeat == api.Repeat.RETRIABLE or group.repeat == api.Repeat.DEDUPED and lasting
-            kind = safe, density[at] < max(density)
+            kind = safe, self.yields[at]
             kinds[kind] = kinds.get(kind, 0) | 1 << at
         self.masks = {mask: kind for kind, mask in kinds.items()}
-        self.yields = [one < max(density) for one in density]
         self.servers, self.proxies = dict[int, Server](), dict[int, Proxy]()
         self.laid: dict[int, dict[int, float]] = {}
         self.laid_levels: dict[int, dict[int, tuple[api.Again, float]]] = {}
@@ -418,9 +418,8 @@
             self.withdraw(True)
         if self.sliced:
             self.tend_slices()
-            return
         self.shrink()
-        tables = self.plan()
+        tables = {} if self.sliced else self.plan()
         for table in tables:
             self.lay(table, tables[table])
         # Let in again only after its lines are laid: an old line may be larger than a cold server stands.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -240,6 +240,15 @@
     assert 2 <= calls <= 8
 
 
+def test_a_server_that_returns_to_a_site_with_slices_is_let_in_again() -> None:
+    plain = Plain(make_terms(slices=2), [entry(0), entry(1)])
+    plain.tell(api.Joined(0, 0, 5.0, True), api.Given(0), api.Held(0, 0, 1.0))
+    plain.tell(api.Listed(False, False, (entry(0, 0, api.Phase.GONE),)))
+    assert plain.shut == {0}
+    plain.tell(api.Listed(False, False, (entry(0),)))
+    assert not plain.shut
+
+
 def test_a_single_owner_is_moved_only_when_no_write_can_be_in_hand() -> None:
     plain = Plain(make_terms(slices=4, single_owner=True), [entry(0), entry(1)])
     plain.tell(api.Joined(0, 0, 5.0, True), api.Given(2), api.Held(2, 0, 1.0), api.Given(3))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -78,7 +78,8 @@
 
 
 SETTINGS = (b'{"classes": [{"on_time": 1, "deadline": 2, "effect": "free", "new": 0}], "zones": ["a"], '
-            b'"family_info": {"egress_per_s": 100, "most_waiting": 200}}')
+            b'"family_info": {"egress_per_s": 100, "most_waiting": 200}, '
+            b'"rules": {"stop_sending_within": 9}}')
 
 
 def test_rebirth_in_one_batch_and_a_failure_told_by_bail_out(monkeypatch: pytest.MonkeyPatch) -> None:
