Doubted lists, answered marks, drains within the queue; drop further tries and spreading

Where gone doesn't bind, what was ready now stays until tries fail there. The queue is now counted from answered marks, and drains keep under 0.95 of the limit. First bindings come first now, the busiest proxies before others. - reports cut to 75 to 300 lines a second tell of 5 to 9 s: windows follow their span.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -1,8 +1,8 @@
 """All decisions of ambershift: which servers each zone's proxies share, and what is done when things fail.
 
-A front calls `TableManager.step(now, events)` whenever something happened to its instance and carries out
-the orders that come back, in order. Event and order types stand in `ambershift/interface.py`. The first
-event is `Born`; the module wakes itself by `Wake`. docs/design.md tells which part comes from where.
+A front calls `TableManager.step(now, events)` whenever something happened to its instance, first `Born`, and
+carries out the orders that come back, in order; `Wake` wakes the module itself. Event and order types stand
+in `ambershift/interface.py`, and docs/design.md tells which part comes from where.
 """
 
 from collections import deque
@@ -11,16 +11,13 @@
 
 from ambershift import interface as api
 
-SECOND = 1_000_000_000
-BEAT = SECOND // 10
-# Reports can wait for the next beat; these can't.
-PROMPT = (api.Born, api.Listed, api.Joined, api.Due, api.Given)
+SECOND, BEAT = 1_000_000_000, 100_000_000
+PROMPT = (api.Born, api.Listed, api.Joined, api.Due, api.Given)  # Reports can wait for the next beat.
 
 # The ordinary path: the design's starting values, and the servers' worth with which a zone table is safe.
-TRAFFIC_WINDOW, SHARE_MOVE, WORTH_LEAST = 30 * SECOND, 0.1, 2.5
-OVERLOAD_LIMIT, OVERLOAD_CALM, SPREAD_SPELL = 0.2, 0.15, 10 * SECOND
-# Over half of the channel stays free: a slow channel and a burst of withdrawals must both fit.
-QUEUE_PART, SLOW_CHANNEL = 0.4, 0.6
+TRAFFIC_WINDOW, SHARE_MOVE, WORTH_LEAST, OVERLOAD_LIMIT, OVERLOAD_CALM = 30 * SECOND, 0.1, 2.5, 0.2, 0.15
+# Most of the channel stays free for a burst of withdrawals; edits leave half of the rest to first bindings.
+QUEUE_PART, DRAIN_PART, EDITS, SLOW_CHANNEL, MARKS = 0.3, 0.95, 0.5, 0.2, 5000
 # Parts of a proxy's messages that orders may use: ordinary ones, those that end bareness, drains.
 ORDINARY, PRESSING, BINDING = 0.6, 0.75, 1.0
 # Health: what counts as evidence, as failing and as a cut, and how what is out is tried again.
@@ -28,38 +25,27 @@
 BAD_SHARE, CUT_SHARE, CUT_SERVERS, OUT_MOST = 0.3, 0.6, 2, 0.34
 SPELL, TRIAL_PART, TRIAL_TRIES = 4 * SECOND, 0.1, 3
 # Servers weaker than listed: times are parts of the latency budget, or multiples of the peers' time.
-LATE, LATE_PEERS, EASE_STEP, EASED_LEAST, EASED_MOST = 0.6, 2.0, 0.75, 0.6, 0.5
+LATE, LATE_PEERS, EASED_PART, EASED_MOST = 0.6, 2.0, 0.6, 0.5
 EASE_SPELL, EASE_EVIDENCE, EASE_TRIES = 60 * SECOND, 5 * SECOND, 10
 # Cold servers: their steps, and when they get a line while failures may fall on them.
 COLD_STEP, COLD_BEAT, COLD_WARY, FIRM_LOAD, CALM_SPELL = 0.05, 2 * SECOND, 0.4, 2.2, 10 * SECOND
-# Overload: from when further tries stop and from when flows are blocked, as parts of the latency budget.
+# Overload: from when further tries stop, from when flows are blocked, as parts of the latency budget.
 BUSY_TIME, CALM_TIME, SHARED_BAD = 0.55, 0.38, 0.12
 LEVEL_LEAST, LEVEL_RISE, LOAD_AIM, DELIVERED_SAMPLES = 0.05, 0.5, 0.9, 60
-INHERIT, LET_IN = 3 * SECOND, 0.8
-
-
-class Chance:
-    """A linear congruential generator; only its high bits are good enough to be used."""
-
-    def __init__(self, seed: int) -> None:
-        self.state = seed & (2**64 - 1)
-
-    def part(self) -> float:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
-        return (self.state >> 40) / 2**24
 
 
 class Server:
     def __init__(self, entry: api.Entry) -> None:
         self.entry = entry
         self.met: deque[tuple[int, api.Met]] = deque(maxlen=SAMPLES)
+        self.doubted = False  # Dropped by a list that doesn't bind, and nothing met bears it out.
 
 
 class Proxy:
     def __init__(self, zone: int) -> None:
-        self.zone, self.joined, self.held_until = zone, True, 0
+        self.zone, self.joined, self.rate = zone, True, 0.0
         self.table: int | None = None
-        self.usage: deque[tuple[int, int, bool]] = deque()
+        self.usage: deque[tuple[int, int]] = deque()
         self.messages: deque[int] = deque(maxlen=SAMPLES)
 
 
@@ -70,7 +56,6 @@
         self.until, self.trial = now + SPELL, False
 
     def over(self, now: int, tries: int, bad: int, bound: float) -> bool:
-        """Whether it may come back, by what was met since its trial began."""
         if not self.trial and now >= self.until:
             self.trial, self.until = True, now
         elif self.trial and tries >= TRIAL_TRIES:
@@ -84,41 +69,36 @@
     """One controller's decisions."""
 
     def start(self, seed: int, terms: api.Terms) -> None:
-        self.chance, self.zones = Chance(seed), terms.zones
+        self.state, self.zones = seed, terms.zones
         self.watch_at: int | None = self.now if terms.must_watch else None
         self.watch_gap, self.watch_gap_most = SECOND, terms.told_after // 3
         self.binding = {api.Phase.DRAINING} | (set() if terms.only_draining_binds else {api.Phase.GONE})
         self.cold, self.cold_share = terms.cold, terms.cold_share
         self.firm = min(0.9, FIRM_LOAD / terms.fall_multiple)
         self.drain_per_ns = terms.lines_per_s * SLOW_CHANNEL / SECOND
-        self.head, self.queue_most = terms.head, terms.waiting_limit * QUEUE_PART
+        self.head, self.queue_limit = terms.head, terms.waiting_limit
         self.message_limit, self.message_span = terms.message_limit or 1 << 30, terms.message_span
-        self.hold = min(INHERIT, terms.bare_limit // 2)
-        self.fresh, self.settle = 5 * terms.report_period // 4, terms.way + 2 * terms.report_period
+        self.way, self.period = terms.way, terms.report_period
+        self.spans = deque([terms.report_period], maxlen=SAMPLES)
         self.budget, self.levels_heeded = min(one.budget for one in terms.groups), terms.levels == "fraction"
-        # Groups alike in whether they may run twice and whether they yield in an overload share a mask.
-        # Work isn't told; the latency budget stands in for it, so those of less utility for it yield.
+        # Groups of less utility for their latency budget, which stands in for the work, yield in an overload.
         density = [group.utility / group.budget for group in terms.groups]
-        self.yields = [one < max(density) for one in density]
-        kinds: dict[tuple[bool, bool], int] = {}
-        for at, group in enumerate(terms.groups):
-            lasting = group.dedup_everywhere and group.dedup_window >= group.expiry
-            safe = group.repeat == api.Repeat.RETRIABLE or group.repeat == api.Repeat.DEDUPED and lasting
-            kind = safe, self.yields[at]
-            kinds[kind] = kinds.get(kind, 0) | 1 << at
-        self.masks = {mask: kind for kind, mask in kinds.items()}
+        yields = sum(1 << at for at, one in enumerate(density) if one < max(density))
+        self.masks = [(yields, True)] * (yields > 0) + [((1 << len(density)) - 1 - yields, False)]
         self.servers, self.proxies = dict[int, Server](), dict[int, Proxy]()
-        self.laid: dict[int, dict[int, float]] = {}
-        self.laid_levels: dict[int, dict[int, tuple[api.Again, float]]] = {}
+        self.laid = dict[int, dict[int, float]]()
+        self.laid_levels = dict[int, dict[int, tuple[api.Again, float]]]()
         self.shut, self.shut_at = set[int](), 0
         self.shut_gap = max(0, terms.grace - terms.way_most) // 2 if terms.message_limit else 0
-        self.ill, self.cut = dict[int, Spell](), dict[tuple[int, int], Spell]()
-        self.eased: dict[int, tuple[float, int]] = {}
-        self.share, self.fallback, self.spread_until = dict[int, float](), False, 0
-        self.heard, self.judged_at, self.calm_at, self.born_at = False, self.now, self.now, self.now
-        self.level, self.level_at, self.again = 1.0, self.now - self.settle, api.Again.IF_NOT_RUN
+        self.ill, self.cut, self.eased = dict[int, Spell](), dict[tuple[int, int], Spell](), dict[int, int]()
+        self.share, self.fallback = dict[int, float](), False
+        self.heard, self.judged_at, self.calm_at = False, self.now, self.now
+        self.level, self.level_at, self.again = 1.0, 0, api.Again.IF_NOT_RUN
+        self.lag, self.settle = self.period, self.way + 2 * self.period
         self.delivered: deque[float] = deque(maxlen=DELIVERED_SAMPLES)
-        self.queue, self.queue_at, self.token = 0.0, self.now, 1
+        # Lines written, lines that surely left the channel, each mark's turn: lines before it and its own.
+        self.written, self.gone, self.marks = 0.0, 0.0, dict[int, tuple[float, dict[int, float]]]()
+        self.gone_at, self.mark, self.token, self.unbound = self.now, 0, 1, False
         self.held, self.stopped = dict[int, dict[int, float]](), dict[int, int]()
         self.sliced, self.single_owner = terms.slices > 0, terms.single_owner
         # After this long without our leave no proxy writes to an owner and none has a write in hand there.
@@ -135,17 +115,20 @@
                     self.hear_list(event)
                 case api.ListFailed():
                     # Spacing with chance: all instances lose the list at once and would storm it together.
-                    self.watch_at = now + int(self.watch_gap * (0.5 + self.chance.part()))
+                    self.watch_at = now + int(self.watch_gap * (0.5 + self.chance()))
                     self.watch_gap = min(2 * self.watch_gap, self.watch_gap_most)
                 case api.Joined():
                     self.join(event)
+                case api.Applied():
+                    self.hear_applied(event)
                 case api.Left() if event.proxy in self.proxies:
                     self.proxies[event.proxy].joined = False
                 case api.Met() if event.server in self.servers:
                     self.servers[event.server].met.append((now, event))
+                    self.spans.append(event.span)
                     self.heard = True
                 case api.Usage() if event.proxy in self.proxies:
-                    self.proxies[event.proxy].usage.append((now, event.came, self.yields[event.group]))
+                    self.proxies[event.proxy].usage.append((now, event.came))
                 case api.Due() if event.token == self.token:
                     self.token += 1
                     self.orders.append(api.Wake(BEAT, self.token))
@@ -160,15 +143,28 @@
             self.turn()
         return self.orders
 
+    def chance(self) -> float:
+        """A linear congruential generator; only its high bits are good enough to be used."""
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
+        return (self.state >> 40) / 2**24
+
     def hear_list(self, event: api.Listed) -> None:
         self.watch_gap = SECOND
+        entries = list(event.entries)
         if event.whole:
-            listed = {entry.server for entry in event.entries}
-            for index, server in self.servers.items():
-                if index not in listed:
-                    server.entry = server.entry._replace(phase=api.Phase.GONE)
-        for entry in event.entries:
+            listed = {entry.server for entry in entries}
+            entries += [server.entry._replace(phase=api.Phase.GONE)
+                        for index, server in self.servers.items() if index not in listed]
+        for entry in entries:
             known = self.servers.setdefault(entry.server, Server(entry))
+            # A wrong list would strip proxies of servers at work: where gone doesn't bind, what was ready
+            # stays until tries fail there. What drained before it went must still not be sent to.
+            if entry.phase == api.Phase.GONE not in self.binding:
+                known.doubted |= known.entry.phase == api.Phase.READY
+                drained = known.entry.phase == api.Phase.DRAINING
+                entry = known.entry if drained else known.entry._replace(phase=api.Phase.GONE)
+            else:
+                known.doubted = False
             if entry.since != known.entry.since:  # What the old process did says nothing of the new one.
                 self.ill.pop(entry.server, None)
                 known.met.clear()
@@ -177,11 +173,8 @@
     def join(self, event: api.Joined) -> None:
         known = self.proxies.setdefault(event.proxy, Proxy(event.zone))
         # A new stream knows none of our orders, also when the old one's end was never told.
-        known.zone, known.joined, known.table = event.zone, True, None
+        known.zone, known.joined, known.table, known.rate = event.zone, True, None, event.rate
         known.messages.clear()
-        # It may hold the levels of a controller that died in an overload: it keeps them until a report tells.
-        cold = any(self.warmth(server.entry.since) < 1.0 for _, server in self.ready())
-        known.held_until = 0 if event.standing or cold or not self.levels_heeded else self.born_at + self.hold
 
     # What is seen
 
@@ -205,22 +198,21 @@
         parts = {}
         for index, server in self.ready():
             spell = self.ill.get(index)
-            part = self.warmth(server.entry.since) * self.eased.get(index, (1.0, 0))[0]
+            part = self.warmth(server.entry.since) * (EASED_PART if index in self.eased else 1.0)
             if part and (spell is None or spell.trial):
                 parts[index] = min(part, TRIAL_PART) if spell else part
         return parts or dict.fromkeys(dict(self.ready()), COLD_STEP)
 
     def ready(self) -> list[tuple[int, Server]]:
         return [(index, server) for index, server in self.servers.items()
-                if server.entry.phase == api.Phase.READY and server.entry.weight > 0]
+                if (server.entry.phase == api.Phase.READY or server.doubted) and server.entry.weight > 0]
 
     def joined(self) -> list[tuple[int, Proxy]]:
         return [(index, proxy) for index, proxy in self.proxies.items() if proxy.joined]
 
     def recent(self, server: Server, since: int, only: int | None = None) -> tuple[int, int, float]:
         """Tries, bad ones and mean time of the good; tries across a cut tell nothing of the server."""
-        tries = bad = 0
-        took = 0.0
+        tries, bad, took = 0, 0, 0.0
         for at, met in server.met:
             counts = met.zone == only if only is not None else (met.zone, server.entry.zone) not in self.cut
             if at >= since and counts:
@@ -231,14 +223,21 @@
 
     def judge(self) -> None:
         """Keep out servers that fail far more than their peers; all failing alike is overload."""
-        self.find_cuts()
-        seen = {index: self.recent(server, self.now - EVIDENCE) for index, server in self.ready()}
+        # Where reports are cut short, a line of each server comes only now and then and tells of longer.
+        self.lag = max(self.period, int(median(self.spans)))
+        self.settle, evidence = self.way + self.period + self.lag, max(EVIDENCE, 5 * self.lag // 4)
+        self.find_cuts(evidence)
+        seen = {index: self.recent(server, self.now - evidence) for index, server in self.ready()}
         # Few tries count here too: while most is blocked, only servers that fail might be met often.
         usual = median([bad / tries for tries, bad, _ in seen.values() if tries] or [0.0])
         # Late answers tell of load, not of illness; a server put out for them only moves the load on.
         shares = {index: bad / tries for index, (tries, bad, took) in seen.items()
                   if tries >= EVIDENCE_TRIES and took < LATE * self.budget}
         self.ease()
+        # Where most of what the list dropped fails, it is right about the rest too.
+        typical = median([share for one, share in shares.items() if self.servers[one].doubted] or [0.0])
+        for index, server in self.servers.items():
+            server.doubted &= max(2 * typical, shares.get(index, 0.0)) < BAD_SHARE
         bound = max(BAD_SHARE, 3 * usual)
         for index in sorted(shares, key=lambda index: (-shares[index], index)):
             if index not in self.ill and shares[index] >= bound and len(self.ill) + 1 <= OUT_MOST * len(seen):
@@ -248,34 +247,16 @@
             if spell.over(self.now, tries, bad, bound):
                 del self.ill[index]
                 self.servers[index].met.clear()  # What it did before must not be held against it again.
-        fresh = {index: self.recent(server, self.now - self.fresh) for index, server in self.ready()}
+        fresh = {index: self.recent(server, self.now - 5 * self.lag // 4) for index, server in self.ready()}
         tries = sum(one[0] for one in fresh.values())
         good = tries - sum(one[1] for one in fresh.values())
         # Nothing met is no calm either: with all servers beyond a cut the first to return takes every flow.
         if usual > SHARED_BAD or not tries:
             self.calm_at = self.now
-        if not tries:
-            return self.set_level(False, 0.0, 0, 0)
-        inherited = [proxy for _, proxy in self.joined() if self.now < proxy.held_until + INHERIT]
-        came = [one[1:] for proxy in inherited for one in proxy.usage if one[0] >= self.now - self.fresh]
-        if yielding := sum(count for count, yields in came if yields):
-            let_in = (tries - sum(count for count, yields in came if not yields)) / yielding
-            if let_in < LET_IN:
-                self.level = max(LEVEL_LEAST, min(self.level, let_in))
-        took = median([one[2] for one in fresh.values() if one[0]])
-        # A zone's share lags behind a jump of its traffic or a loss in it: while its servers are late and
-        # another zone's aren't, all share all.
-        times = [median([seen[index][2] for index in lines if index in seen and seen[index][0]] or [0.0])
-                 for zone, lines in self.laid.items() if zone != self.zones and self.users(zone)]
-        if times and max(times) > max(BUSY_TIME * self.budget, LATE_PEERS * min(times)):
-            self.spread_until = self.now + SPREAD_SPELL
+        took = median([one[2] for one in fresh.values() if one[0]] or [0.0])
         busy = took > BUSY_TIME * self.budget or usual > SHARED_BAD
-        # A further try after a time-out runs the flow twice, so most failures must come from servers that
-        # fail while their peers do well; with all busy it would feed the overload, as one after a refusal.
-        failing = sum(one[1] for index, one in fresh.items() if index in self.ill or (
-            shares.get(index, 0.0) > max(BAD_SHARE / 2, 3 * usual)))
-        calm = api.Again.ONCE if 2 * failing > tries - good else api.Again.IF_NOT_RUN
-        self.again = api.Again.NEVER if busy else calm
+        # A try after a time-out runs the flow twice; one after a refusal feeds an overload.
+        self.again = api.Again.NEVER if busy else api.Again.IF_NOT_RUN
         self.set_level(busy or took > CALM_TIME * self.budget, took, tries, good)
 
     def across(self, pair: tuple[int, int], since: int) -> tuple[int, int, int]:
@@ -286,9 +267,9 @@
         failing = sum(bad > CUT_SHARE * tries and took < LATE * self.budget for tries, bad, took in met)
         return sum(one[0] for one in met), sum(one[1] for one in met), failing
 
-    def find_cuts(self) -> None:
+    def find_cuts(self, evidence: int) -> None:
         # It covers any trouble between two zones, a lost zone too; bad everywhere is overload and no cut.
-        met = {(near, far): self.across((near, far), self.now - EVIDENCE)
+        met = {(near, far): self.across((near, far), self.now - evidence)
                for near in sorted(self.share) for far in range(self.zones)}
         tries, bad = sum(one[0] for one in met.values()), sum(one[1] for one in met.values())
         for pair, (some, failed, failing) in met.items():
@@ -304,27 +285,25 @@
     def ease(self) -> None:
         """Lessen the line of a server that answers late while its peers don't: it is weaker than listed."""
         # Many slow are an overload, in which lessening one only loads the rest: hence the peers and a cap.
-        seen = {index: self.recent(server, self.now - EASE_EVIDENCE) for index, server in self.ready()}
+        since = self.now - max(EASE_EVIDENCE, 2 * self.lag)
+        seen = {index: self.recent(server, since) for index, server in self.ready()}
         usual = median([one[2] for one in seen.values() if one[0]] or [0.0])
         for index, (tries, _, took) in seen.items():
-            part, at = self.eased.get(index, (1.0, 0))
             late = tries >= EASE_TRIES and took > max(LATE * self.budget, LATE_PEERS * usual)
-            room = len(self.eased) < EASED_MOST * len(seen) if part == 1.0 else part > EASED_LEAST
-            # The next step waits until all that is seen comes from after the last.
-            if late and room and self.now > at + self.settle + EASE_EVIDENCE:
-                self.eased[index] = part * EASE_STEP, self.now
-            elif self.now > at + EASE_SPELL:
-                self.eased.pop(index, None)
+            if late and index not in self.eased and len(self.eased) < EASED_MOST * len(seen):
+                self.eased[index] = self.now
+            elif self.now > self.eased.get(index, self.now) + EASE_SPELL:
+                del self.eased[index]
 
     def set_level(self, busy: bool, took: float, tries: int, good: int) -> None:
         """Block early while most servers answer late: what comes too late is lost and delays the rest."""
         room = sum(self.servers[index].entry.weight * part for index, part in self.usable().items()) or 1.0
-        self.delivered.append(good / room)
+        self.delivered.append(good / room / self.lag)
         # One step for each round trip of order and report, else the same overload is counted twice.
         if self.now < self.level_at + self.settle or not busy and self.level == 1.0:
             return
         self.level_at = self.now
-        room *= LOAD_AIM * max(self.delivered) / tries if tries else 0.0
+        room *= LOAD_AIM * max(self.delivered) * self.lag / tries if tries else 0.0
         if busy:
             room *= min(1.0, CALM_TIME * self.budget / took if took else 1.0)
             self.level = max(LEVEL_LEAST, self.level * min(0.95, max(0.4, room)))
@@ -382,17 +361,17 @@
         if not parts or not shares:
             return {}
         weigh = {index: self.servers[index].entry.weight * part for index, part in parts.items()}
-        reached = {zone: self.reach(zone, weigh) for zone, _ in sorted(self.cut) if zone in shares}
         # With less, one sick server is much of a zone, and cold lines would take a traffic not yet seen.
-        worth = {zone: sum(parts[index] for index in lines) for zone, lines in reached.items()}
-        apart = {zone: lines for zone, lines in reached.items() if worth[zone] >= WORTH_LEAST}
+        reached = {zone: self.reach(zone, weigh) for zone, _ in sorted(self.cut) if zone in shares}
+        apart = {zone: lines for zone, lines in reached.items()
+                 if sum(parts[one] for one in lines) >= WORTH_LEAST}
         near = {zone: share for zone, share in shares.items() if zone not in apart}
         lines = self.deal(parts, near)
         while small := sorted((had, zone) for zone, had in self.got.items() if had < WORTH_LEAST):
             del near[small[0][1]]
             lines = self.deal(parts, near)
         zoneless = -1 in near or any(self.servers[index].entry.zone < 0 for index in parts)
-        if self.now >= self.spread_until and not self.fallback and not zoneless and len(parts) >= self.zones:
+        if not self.fallback and not zoneless and len(parts) >= self.zones:
             apart |= {zone: {index: weigh[index] for index in lines[zone]} for zone in near}
         return apart if apart.keys() >= shares.keys() else apart | {self.zones: weigh}
 
@@ -411,13 +390,15 @@
         if self.heard or self.now >= self.judged_at + 2 * SECOND:
             self.heard, self.judged_at = False, self.now
             self.judge()
-        drained = (self.now - self.queue_at) * self.drain_per_ns
-        self.queue, self.queue_at = max(0.0, self.queue - drained), self.now
-        self.touched: set[int] = set()
+        # Proxies that left answer no marks: a channel far slower than told drains in their place.
+        self.gone = min(self.written, self.gone + (self.now - self.gone_at) * self.drain_per_ns)
+        self.gone_at, self.before, self.spent = self.now, self.written, dict[int, float]()
         if not (self.sliced and self.single_owner):
             self.withdraw(True)
         if self.sliced:
             self.tend_slices()
+        # Edits of tables in use would keep the others waiting for their first, with servers that may be lost.
+        self.unbound = any(proxy.table is None for _, proxy in self.joined())
         self.shrink()
         tables = {} if self.sliced else self.plan()
         for table in tables:
@@ -425,31 +406,48 @@
         # Let in again only after its lines are laid: an old line may be larger than a cold server stands.
         self.withdraw(False)
         self.bind(tables)
+        if self.spent:
+            self.mark = self.mark % MARKS + 1
+            self.marks[self.mark] = self.before, self.spent
+            self.orders.append(api.Mark(self.mark, False))
+
+    def hear_applied(self, event: api.Applied) -> None:
+        """Messages leave one after the other, so all that was written before an answered one has left."""
+        before, spent = self.marks.get(event.mark, (0.0, {}))
+        lines = spent.pop(event.proxy, 0.0)
+        if lines:
+            self.marks[event.mark] = before + lines, spent
+            self.gone = max(self.gone, before + lines)
 
     def withdraw(self, out: bool) -> None:
         """Shut out beyond the ordinary budget: a drain has a grace, all else can wait."""
-        # Servers lost one by one would cost a message each: the next ones wait for part of the grace.
+        # Against a message for each of a wave, or more lines than the channel holds: the rest waits a part.
         if out and self.now < self.shut_at:
             return
         everyone = [proxy for proxy, _ in self.joined()]
         for index, server in self.servers.items():
-            due = (index in self.shut) != out and (server.entry.phase in self.binding) == out
-            if due and self.afford(everyone, 1, BINDING if out else ORDINARY):
+            if (index in self.shut) != out and (server.entry.phase in self.binding) == out:
+                if not self.afford(everyone, 1, BINDING if out else ORDINARY):
+                    self.shut_at = self.now + self.shut_gap // 2 * out
+                    break
                 self.shut ^= {index}
                 self.shut_at = self.now + self.shut_gap * out
                 self.orders.append(api.Withdraw(index, out))
 
     def afford(self, proxies: list[int], lines: int, part: float) -> bool:
         """Take room in the channel and in each proxy's count of messages, or leave it for a later turn."""
-        fresh = [self.proxies[index] for index in proxies if index not in self.touched]
-        cost = lines * len(proxies) + self.head * len(fresh)
+        fresh = [self.proxies[index] for index in proxies if index not in self.spent]
+        cost = lines * len(proxies) + (self.head + 1) * len(fresh)
         horizon = self.now - self.message_span
         written = max((sum(at > horizon for at in proxy.messages) for proxy in fresh), default=0)
-        full = self.queue and self.queue + cost > self.queue_most or written >= part * self.message_limit
-        if full and part != BINDING:
+        waiting = self.written - self.gone
+        usual = QUEUE_PART * (EDITS if self.unbound and part == ORDINARY else 1.0)
+        most = self.queue_limit * (DRAIN_PART if part == BINDING else usual)
+        if waiting and waiting + cost > most or written >= part * self.message_limit:
             return False
-        self.touched.update(proxies)
-        self.queue += cost
+        for index in proxies:
+            self.spent[index] = self.spent.get(index, self.head + 1) + lines
+        self.written += cost
         for proxy in fresh:
             proxy.messages.append(self.now)
         return True
@@ -471,8 +469,10 @@
         users = self.users(table)
         changes = [(index, weight) for index, weight in wanted.items()
                    if abs(weight - laid.get(index, 0.0)) > 1e-6]
-        # Additions before removals: a table cut in two by the budget must never be the emptier for it.
-        changes += [(index, 0.0) for index in laid if index not in wanted]
+        # Additions before removals: a table cut in two by the budget must never be the emptier for it. Lines
+        # of servers that are shut out harm nobody and can wait for an idle channel.
+        kept = wanted.keys() | (self.shut if self.written - self.gone > self.head else ())
+        changes += [(index, 0.0) for index in laid if index not in kept]
         part = ORDINARY if any(index in laid and index not in self.shut for index in wanted) else PRESSING
         for index, weight in changes:
             if self.afford(users, 1, part):
@@ -481,19 +481,18 @@
                 if not weight:
                     del laid[index]
         levels = self.laid_levels.setdefault(table, {})
-        for mask, (safe, yields) in self.masks.items():
-            again = self.again if safe else min(self.again, api.Again.IF_NOT_RUN)
-            wish = again, round(self.level, 2) if yields and self.levels_heeded else 1.0
+        for mask, yields in self.masks:
+            wish = self.again, round(self.level, 2) if yields and self.levels_heeded else 1.0
             if levels.get(mask) != wish and self.afford(users, 1, ORDINARY):
                 self.orders.append(api.Level(table, mask, *wish))
                 levels[mask] = wish
 
     def bind(self, tables: dict[int, dict[int, float]]) -> None:
-        """Worst off first: proxies with no table of ours, then those whose table has changed."""
-        for index, proxy in sorted(self.joined(), key=lambda one: (one[1].table is not None, one[0])):
+        """Worst off first: proxies with no table of ours, of these the busiest."""
+        for index, proxy in sorted(self.joined(), key=lambda one: (one[1].table is not None, -one[1].rate)):
             table = proxy.zone if proxy.zone in tables else self.zones
             lines = self.laid.get(table, {})
-            ready = any(line not in self.shut for line in lines) and self.now >= proxy.held_until
+            ready = any(line not in self.shut for line in lines)
             if proxy.table == table or not ready:
                 continue
             cost = 1 + len(lines) + len(self.laid_levels.get(table, ()))
