Doubt only what has delivered, and shrink cold lines ahead of the ordinary budget

A server that the list drops is now kept only if something good was met there, and the lines of cold servers may use the channel as drains do. Covers any list that goes back; harms where a list goes wrong before the first reports come.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -18,12 +18,11 @@
 TRAFFIC_WINDOW, SHARE_MOVE, WORTH_LEAST, OVERLOAD_LIMIT, OVERLOAD_CALM = 30 * SECOND, 0.1, 2.5, 0.2, 0.15
 # Most of the channel stays free for a burst of withdrawals; edits leave half of the rest to first bindings.
 QUEUE_PART, DRAIN_PART, EDITS, SLOW_CHANNEL, MARKS = 0.3, 0.95, 0.5, 0.2, 5000
-# Parts of a proxy's messages that orders may use: ordinary ones, those that end bareness, drains.
-ORDINARY, PRESSING, BINDING = 0.6, 0.75, 1.0
+# Parts of a proxy's messages that orders may use: ordinary ones, first bindings, cold lines, drains.
+ORDINARY, PRESSING, GUARDING, BINDING = 0.6, 0.75, 0.8, 1.0
 # Health: what counts as evidence, as failing and as a cut, and how what is out is tried again.
-SAMPLES, EVIDENCE, EVIDENCE_TRIES = 40, 5 * SECOND // 2, 5
-BAD_SHARE, CUT_SHARE, CUT_SERVERS, OUT_MOST = 0.3, 0.6, 2, 0.34
-SPELL, TRIAL_PART, TRIAL_TRIES = 4 * SECOND, 0.1, 3
+SAMPLES, EVIDENCE, EVIDENCE_TRIES, TRIAL_PART, TRIAL_TRIES = 40, 5 * SECOND // 2, 5, 0.1, 3
+BAD_SHARE, CUT_SHARE, CUT_SERVERS, OUT_MOST, SPELL = 0.3, 0.6, 2, 0.34, 4 * SECOND
 # Servers weaker than listed: times are parts of the latency budget, or multiples of the peers' time.
 LATE, LATE_PEERS, EASED_PART, EASED_MOST = 0.6, 2.0, 0.6, 0.5
 EASE_SPELL, EASE_EVIDENCE, EASE_TRIES = 60 * SECOND, 5 * SECOND, 10
@@ -157,14 +156,15 @@
                         for index, server in self.servers.items() if index not in listed]
         for entry in entries:
             known = self.servers.setdefault(entry.server, Server(entry))
-            # A wrong list would strip proxies of servers at work: where gone doesn't bind, what was ready
+            # A wrong list would strip proxies of servers at work: where gone doesn't bind, what has delivered
             # stays until tries fail there. What drained before it went must still not be sent to.
             if entry.phase == api.Phase.GONE not in self.binding:
-                known.doubted |= known.entry.phase == api.Phase.READY
-                drained = known.entry.phase == api.Phase.DRAINING
-                entry = known.entry if drained else known.entry._replace(phase=api.Phase.GONE)
-            else:
-                known.doubted = False
+                delivers = any(met.tries > met.bad for _, met in known.met)
+                known.doubted |= delivers and known.entry.phase == api.Phase.READY
+                if known.entry.phase != api.Phase.DRAINING:
+                    known.entry = known.entry._replace(phase=api.Phase.GONE)
+                continue
+            known.doubted = False
             if entry.since != known.entry.since:  # What the old process did says nothing of the new one.
                 self.ill.pop(entry.server, None)
                 known.met.clear()
@@ -442,7 +442,7 @@
         written = max((sum(at > horizon for at in proxy.messages) for proxy in fresh), default=0)
         waiting = self.written - self.gone
         usual = QUEUE_PART * (EDITS if self.unbound and part == ORDINARY else 1.0)
-        most = self.queue_limit * (DRAIN_PART if part == BINDING else usual)
+        most = self.queue_limit * (DRAIN_PART if part >= GUARDING else usual)
         if waiting and waiting + cost > most or written >= part * self.message_limit:
             return False
         for index in proxies:
@@ -460,7 +460,7 @@
         for index, server in self.ready():
             most = server.entry.weight * max(COLD_STEP, self.warmth(server.entry.since))
             for table, laid in self.laid.items():
-                if laid.get(index, 0.0) > most and self.afford(self.users(table), 1, PRESSING):
+                if laid.get(index, 0.0) > most and self.afford(self.users(table), 1, GUARDING):
                     laid[index] = most
                     self.orders.append(api.Share(table, index, most))
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -166,6 +166,21 @@
     assert 0 not in lines(plain, 0), "gone and failing is gone"
 
 
+def test_a_controller_just_born_holds_on_to_nothing_that_its_old_list_named() -> None:
+    plain = small(12, only_draining_binds=True)
+    plain.run(S, api.Listed(True, False, tuple(entry(i, i % 2) for i in range(6, 12))))
+    assert set(lines(plain, 0)) == {6, 8, 10}
+
+
+def test_a_cold_line_shrinks_though_the_ordinary_part_of_the_channel_is_taken() -> None:
+    plain = Plain(make_terms(lines_per_s=200.0, waiting_limit=900.0), [entry(i, i % 2) for i in range(40)])
+    plain.tell(*[api.Joined(proxy, proxy % 2, 5.0, True) for proxy in range(30)])
+    plain.run(20 * S)
+    plain.tell(*[api.Joined(proxy, proxy % 2, 5.0, True) for proxy in range(15)])
+    plain.run(S // 10, api.Listed(False, False, (entry(0, 0, since=plain.now),)))
+    assert lines(plain, 20)[0] < 0.2
+
+
 def test_a_list_that_drops_what_fails_is_believed() -> None:
     plain = dropped(6)
     plain.run(S, *[met(i, 20, 10 * (i < 6) * (i > 0), i % 2) for i in range(12)])
