Measure zone shares by what reports span; believe drops only in a controller's first second

Where reports are cut short (300 lines a second for 90 proxies) some proxies had been heard of for 3 s and others for 10, so that shares, and with them tables, moved without cause.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -7,7 +7,7 @@
 
 from collections import deque
 from collections.abc import Sequence
-from statistics import median
+from statistics import fmean, median
 
 from ambershift import interface as api
 
@@ -44,7 +44,7 @@
     def __init__(self, zone: int) -> None:
         self.zone, self.joined, self.rate = zone, True, 0.0
         self.table: int | None = None
-        self.usage: deque[tuple[int, int]] = deque()
+        self.usage: deque[tuple[int, int, int]] = deque()
         self.messages: deque[int] = deque(maxlen=SAMPLES)
 
 
@@ -91,7 +91,7 @@
         self.shut_gap = max(0, terms.grace - terms.way_most) // 2 if terms.message_limit else 0
         self.ill, self.cut, self.eased = dict[int, Spell](), dict[tuple[int, int], Spell](), dict[int, int]()
         self.share, self.fallback = dict[int, float](), False
-        self.heard, self.judged_at, self.calm_at = False, self.now, self.now
+        self.heard, self.judged_at, self.calm_at, self.born_at = False, self.now, self.now, self.now
         self.level, self.level_at, self.again = 1.0, 0, api.Again.IF_NOT_RUN
         self.lag, self.settle = self.period, self.way + 2 * self.period
         self.delivered: deque[float] = deque(maxlen=DELIVERED_SAMPLES)
@@ -127,7 +127,7 @@
                     self.spans.append(event.span)
                     self.heard = True
                 case api.Usage() if event.proxy in self.proxies:
-                    self.proxies[event.proxy].usage.append((now, event.came))
+                    self.proxies[event.proxy].usage.append((now, event.came, event.span))
                 case api.Due() if event.token == self.token:
                     self.token += 1
                     self.orders.append(api.Wake(BEAT, self.token))
@@ -156,11 +156,11 @@
                         for index, server in self.servers.items() if index not in listed]
         for entry in entries:
             known = self.servers.setdefault(entry.server, Server(entry))
-            # A wrong list would strip proxies of servers at work: where gone doesn't bind, what has delivered
-            # stays until tries fail there. What drained before it went must still not be sent to.
+            # A wrong list would strip proxies of servers at work: where gone doesn't bind, what was ready
+            # stays until tries fail there; not what one just born has from an old list, nor what drained.
             if entry.phase == api.Phase.GONE not in self.binding:
-                delivers = any(met.tries > met.bad for _, met in known.met)
-                known.doubted |= delivers and known.entry.phase == api.Phase.READY
+                seen = known.met or self.now > self.born_at + SECOND
+                known.doubted |= bool(seen and known.entry.phase == api.Phase.READY)
                 if known.entry.phase != api.Phase.DRAINING:
                     known.entry = known.entry._replace(phase=api.Phase.GONE)
                 continue
@@ -316,15 +316,16 @@
 
     def zone_shares(self) -> dict[int, float]:
         """Each zone's share of our own proxies' traffic, held until one moves by a tenth."""
-        came, count = dict[int, int](), dict[int, int]()
-        for _, proxy in self.joined():
+        # By what reports span: where they are cut short, some cover more time. None counts as quite silent.
+        joined = [proxy for _, proxy in self.joined()]
+        rates: dict[int, list[float]] = {zone: [] for zone in sorted({proxy.zone for proxy in joined})}
+        for proxy in joined:
             while proxy.usage and proxy.usage[0][0] < self.now - TRAFFIC_WINDOW:
                 proxy.usage.popleft()
-            count[proxy.zone] = count.get(proxy.zone, 0) + 1
-            came[proxy.zone] = came.get(proxy.zone, 0) + sum(one[1] for one in proxy.usage)
-        reported = sum(count[zone] for zone in count if came[zone])
-        each = sum(came.values()) / reported if reported else 1.0
-        flow = {zone: came[zone] or each * count[zone] for zone in sorted(count)}
+            if span := sum(one[2] for one in proxy.usage):
+                rates[proxy.zone].append((1 + sum(one[1] for one in proxy.usage)) / span)
+        every = [rate for zone in rates for rate in rates[zone]] or [1.0]
+        flow = {zone: sum(one.zone == zone for one in joined) * fmean(rates[zone] or every) for zone in rates}
         fresh = {zone: flow[zone] / sum(flow.values()) for zone in flow}
         if fresh.keys() != self.share.keys() or any(
                 abs(fresh[zone] - self.share[zone]) > SHARE_MOVE * self.share[zone] for zone in fresh):
@@ -335,8 +336,7 @@
         """Each zone keeps its own servers up to its due and borrows from what others have left."""
         due = {zone: share * sum(parts.values()) / sum(shares.values()) for zone, share in shares.items()}
         got = self.got = dict.fromkeys(shares, 0.0)
-        lines: dict[int, list[int]] = {zone: [] for zone in shares}
-        spare = []
+        lines, spare = {zone: list[int]() for zone in shares}, list[int]()
         for index in sorted(parts, key=lambda index: (-parts[index], index)):
             zone = self.servers[index].entry.zone
             if zone in due and got[zone] + parts[index] / 2 <= due[zone]:
@@ -370,8 +370,8 @@
         while small := sorted((had, zone) for zone, had in self.got.items() if had < WORTH_LEAST):
             del near[small[0][1]]
             lines = self.deal(parts, near)
-        zoneless = -1 in near or any(self.servers[index].entry.zone < 0 for index in parts)
-        if not self.fallback and not zoneless and len(parts) >= self.zones:
+        zoned = -1 not in near and all(self.servers[index].entry.zone >= 0 for index in parts)
+        if not self.fallback and zoned and len(parts) >= self.zones:
             apart |= {zone: {index: weigh[index] for index in lines[zone]} for zone in near}
         return apart if apart.keys() >= shares.keys() else apart | {self.zones: weigh}
 
