--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -24,7 +24,7 @@
 SAMPLES, EVIDENCE, EVIDENCE_TRIES, TRIAL_PART, TRIAL_TRIES = 40, 5 * SECOND // 2, 5, 0.1, 3
 BAD_SHARE, CUT_SHARE, CUT_SERVERS, OUT_MOST, SPELL = 0.3, 0.6, 2, 0.34, 4 * SECOND
 # Servers weaker than listed: times are parts of the latency budget, or multiples of the peers' time.
-LATE, LATE_PEERS, EASED_PART, EASED_MOST = 0.6, 2.0, 0.6, 0.5
+LATE, LATE_PEERS, EASE_STEP, EASED_LEAST, EASED_MOST = 0.6, 2.0, 0.75, 0.6, 0.5
 EASE_SPELL, EASE_EVIDENCE, EASE_TRIES = 60 * SECOND, 5 * SECOND, 10
 # Cold servers: their steps, and when they get a line while failures may fall on them.
 COLD_STEP, COLD_BEAT, COLD_WARY, FIRM_LOAD, CALM_SPELL = 0.05, 2 * SECOND, 0.4, 2.2, 10 * SECOND
@@ -65,10 +65,8 @@
 
 
 class TableManager:
-    """One controller's decisions."""
-
     def start(self, seed: int, terms: api.Terms) -> None:
-        self.state, self.zones = seed, terms.zones
+        self.state, self.zones, self.born_at = seed, terms.zones, self.now
         self.watch_at: int | None = self.now if terms.must_watch else None
         self.watch_gap, self.watch_gap_most = SECOND, terms.told_after // 3
         self.binding = {api.Phase.DRAINING} | (set() if terms.only_draining_binds else {api.Phase.GONE})
@@ -87,13 +85,12 @@
         self.servers, self.proxies = dict[int, Server](), dict[int, Proxy]()
         self.laid = dict[int, dict[int, float]]()
         self.laid_levels = dict[int, dict[int, tuple[api.Again, float]]]()
-        self.shut, self.shut_at = set[int](), 0
         self.shut_gap = max(0, terms.grace - terms.way_most) // 2 if terms.message_limit else 0
-        self.ill, self.cut, self.eased = dict[int, Spell](), dict[tuple[int, int], Spell](), dict[int, int]()
-        self.share, self.fallback = dict[int, float](), False
-        self.heard, self.judged_at, self.calm_at, self.born_at = False, self.now, self.now, self.now
+        self.ill, self.cut = dict[int, Spell](), dict[tuple[int, int], Spell]()
+        self.eased = dict[int, tuple[float, int]]()
+        self.share, self.fallback, self.shut, self.shut_at = dict[int, float](), False, set[int](), 0
+        self.heard, self.judged_at, self.calm_at = False, self.now, self.now
         self.level, self.level_at, self.again = 1.0, 0, api.Again.IF_NOT_RUN
-        self.lag, self.settle = self.period, self.way + 2 * self.period
         self.delivered: deque[float] = deque(maxlen=DELIVERED_SAMPLES)
         # Lines written, lines that surely left the channel, each mark's turn: lines before it and its own.
         self.written, self.gone, self.marks = 0.0, 0.0, dict[int, tuple[float, dict[int, float]]]()
@@ -198,7 +195,7 @@
         parts = {}
         for index, server in self.ready():
             spell = self.ill.get(index)
-            part = self.warmth(server.entry.since) * (EASED_PART if index in self.eased else 1.0)
+            part = self.warmth(server.entry.since) * self.eased.get(index, (1.0, 0))[0]
             if part and (spell is None or spell.trial):
                 parts[index] = min(part, TRIAL_PART) if spell else part
         return parts or dict.fromkeys(dict(self.ready()), COLD_STEP)
@@ -284,16 +281,18 @@
 
     def ease(self) -> None:
         """Lessen the line of a server that answers late while its peers don't: it is weaker than listed."""
-        # Many slow are an overload, in which lessening one only loads the rest: hence the peers and a cap.
+        # Many slow are an overload: hence the peers and a cap. A step waits till all seen is after the last.
         since = self.now - max(EASE_EVIDENCE, 2 * self.lag)
         seen = {index: self.recent(server, since) for index, server in self.ready()}
         usual = median([one[2] for one in seen.values() if one[0]] or [0.0])
         for index, (tries, _, took) in seen.items():
+            part, at = self.eased.get(index, (1.0, 0))
             late = tries >= EASE_TRIES and took > max(LATE * self.budget, LATE_PEERS * usual)
-            if late and index not in self.eased and len(self.eased) < EASED_MOST * len(seen):
-                self.eased[index] = self.now
-            elif self.now > self.eased.get(index, self.now) + EASE_SPELL:
-                del self.eased[index]
+            room = len(self.eased) < EASED_MOST * len(seen) if part == 1.0 else part > EASED_LEAST
+            if late and room and self.now > at + self.settle + EASE_EVIDENCE:
+                self.eased[index] = part * EASE_STEP, self.now
+            elif self.now > at + EASE_SPELL:
+                self.eased.pop(index, None)
 
     def set_level(self, busy: bool, took: float, tries: int, good: int) -> None:
         """Block early while most servers answer late: what comes too late is lost and delays the rest."""
