--- a/tests/plain.py
+++ b/tests/plain.py
@@ -69,8 +69,8 @@
                 lines[proxy] += 1
         marks = [order.mark for order in self.orders if isinstance(order, api.Mark)]
         for proxy, count in lines.items():
-            self.waiting += self.terms.head + count + len(marks)
-            self.total += self.terms.head + count + len(marks)
+            cost = self.terms.head + count + len(marks)
+            self.waiting, self.total = self.waiting + cost, self.total + cost
             self.way += [(self.total, api.Applied(mark, S, proxy)) for mark in marks]
             self.written[proxy].append(self.now)
         for written in self.written.values():
