--- a/ambershift/benchlink/host.py
+++ b/ambershift/benchlink/host.py
@@ -7,21 +7,15 @@
 from ambershift import interface as api
 from ambershift import policy
 from ambershift.benchlink import wire
+from ambershift.door import Door
 
 
-class Door:
-    """Maps the wire's server numbers to an instance's small indices and back."""
+class WireDoor(Door[int]):
+    """Turns records with the wire's numbers into events with an instance's indices, and orders back."""
 
     def __init__(self, zones: int) -> None:
+        super().__init__()
         self.zones = zones
-        self.indices: dict[int, int] = {}
-        self.numbers: list[int] = []
-
-    def index(self, number: int) -> int:
-        if number not in self.indices:
-            self.indices[number] = len(self.numbers)
-            self.numbers.append(number)
-        return self.indices[number]
 
     def zone(self, zone: int) -> int:
         return zone if zone < self.zones else -1
@@ -43,7 +37,7 @@
 
     def order(self, order: api.Order) -> api.Order:
         if isinstance(order, (api.Share, api.Withdraw, api.Probe)):
-            return order._replace(server=self.numbers[order.server])
+            return order._replace(server=self.ids[order.server])
         return order
 
 
@@ -52,7 +46,7 @@
 
     def __init__(self) -> None:
         self.reader = wire.Reader()
-        self.doors: dict[int, Door] = {}
+        self.doors: dict[int, WireDoor] = {}
         self.modules: dict[int, policy.TableManager] = {}
 
     def answer(self, frame: bytes) -> bytes:
@@ -70,7 +64,7 @@
                 self.modules.pop(instance, None)
                 gathered.pop(instance, None)
             elif isinstance(record, api.Born):
-                self.doors[instance] = Door(record.terms.zones)
+                self.doors[instance] = WireDoor(record.terms.zones)
                 self.modules[instance] = policy.TableManager()
                 gathered[instance] = [record]
             elif instance in self.modules:
--- a/ambershift/benchlink/wire.py
+++ b/ambershift/benchlink/wire.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import json
-import math
 import struct
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from ambershift import interface as api
+from ambershift.terms import NS_PER_MS, TermsError, read_terms, to_ns
 
-NS_PER_MS = 1_000_000
 ALL_PEERS = 0xFFFF
 TEXT_MOST = 0xFFFF
 
@@ -58,78 +57,13 @@
 INVENTORY = struct.Struct("<II")
 
 
-def to_ns(ms: float) -> int:
-    return round(ms * NS_PER_MS) if math.isfinite(ms) else 0
-
-
-def needed(found: Mapping[str, Any], key: str, where: str = "") -> Any:
-    if key not in found:
-        raise WireError(f"settings: key '{where}{key}' is missing")
-    return found[key]
-
-
-def number(found: Mapping[str, Any], key: str, default: float | None = None, where: str = "") -> float:
-    value = needed(found, key, where) if default is None else found.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
-        raise WireError(f"settings: key '{where}{key}' is not a number")
-    return value
-
-
-def section(found: Mapping[str, Any], key: str) -> Mapping[str, Any]:
-    value = found.get(key, {})
-    if not isinstance(value, dict):
-        raise WireError(f"settings: key '{key}' is not an object")
-    return value
-
-
-REPEATS = {
-    "free": api.Repeat.RETRIABLE, "guarded": api.Repeat.DEDUPED, "single_shot": api.Repeat.NON_RETRIABLE}
-
-
-def read_terms(text: bytes) -> api.Terms:
-    """Turn the settings of a `born` into terms; unknown keys are passed over."""
+def read_settings(text: bytes) -> api.Terms:
     try:
-        found = json.loads(text)
+        return read_terms(json.loads(text))
     except ValueError as error:
         raise WireError(f"settings: not JSON ({error})") from None
-    if not isinstance(found, dict):
-        raise WireError("settings: not an object")
-    info, rules = section(found, "family_info"), section(found, "rules")
-    classes, zones = needed(found, "classes"), needed(found, "zones")
-    if not isinstance(classes, list) or not isinstance(zones, list):
-        raise WireError("settings: keys 'classes' and 'zones' must be lists")
-    if not classes or not zones:
-        raise WireError("settings: keys 'classes' and 'zones' must not be empty")
-    groups = []
-    for at, one in enumerate(classes):
-        where = f"classes[{at}]."
-        if not isinstance(one, dict):
-            raise WireError(f"settings: key 'classes[{at}]' is not an object")
-        effect = needed(one, "effect", where)
-        groups.append(api.Group(
-            budget=to_ns(number(one, "on_time", None, where)),
-            expiry=to_ns(number(one, "deadline", None, where)),
-            utility=number(one, "worth", 1.0, where),
-            repeat=REPEATS.get(str(effect), api.Repeat.NON_RETRIABLE),
-            dedup_everywhere=one.get("group", "all") == "all",
-            dedup_window=to_ns(number(one, "dedup_window", 0, where))))
-    return api.Terms(
-        zones=len(zones), groups=tuple(groups), must_watch=found.get("discovery") == "subscribe",
-        told_after=to_ns(number(rules, "ask_within", 10_000)),
-        grace=to_ns(number(rules, "stop_sending_within", None, "rules.")),
-        only_draining_binds=bool(rules.get("soft_removal", False)),
-        cold=to_ns(number(rules, "cold", 0)), cold_share=number(rules, "cold_share", 1.0),
-        fall_multiple=number(rules, "tip_multiple", 4.0),
-        bare_limit=to_ns(number(info, "blackhole", 3000)),
-        lines_per_s=number(info, "egress_per_s", None, "family_info."), head=number(info, "per_message", 0),
-        waiting_limit=number(info, "most_waiting", None, "family_info."),
-        message_limit=int(number(info, "messages_most", 0)),
-        message_span=to_ns(number(info, "reload_span", 10_000)),
-        way=to_ns(number(info, "late", 0)), way_most=to_ns(number(info, "push_delay_max", 0)),
-        report_period=to_ns(number(info, "cycle", 1000)), levels=str(info.get("admit", "silent")),
-        slices=int(number(info, "slices", 0)),
-        single_owner=bool(info.get("one_owner", False)),
-        in_hand=to_ns(number(info, "in_flight_max", 0)), lease=to_ns(number(info, "tenure", 0)))
+    except TermsError as error:
+        raise WireError(str(error)) from None
 
 
 class Reader:
@@ -179,7 +113,7 @@
         if code == 21:
             seed, count = take(BORN, frame, at, start)
             body, at = run(frame, at + BORN.size, count, start)
-            return api.Born(seed, read_terms(body)), at
+            return api.Born(seed, read_settings(body)), at
         raise WireError(f"byte {start}: unknown code {code}")
 
     def plain(self, code: int, fields: tuple[Any, ...], start: int) -> Record:
--- /dev/null
+++ b/ambershift/coordinator/__init__.py
@@ -0,0 +1,1 @@
+"""The real coordinator: transport, protocol, routing and program, each importing only downwards."""
--- /dev/null
+++ b/ambershift/coordinator/program/assembly.py
@@ -0,0 +1,110 @@
+"""Puts the parts together, starts them in order and ends them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
+
+from ambershift import interface as api
+from ambershift.coordinator.program.clock import Clock
+from ambershift.coordinator.program.configuration import BadStartError, Start, read
+from ambershift.coordinator.program.log import LogWriter
+from ambershift.coordinator.program.signals import stop_event
+from ambershift.coordinator.protocol.relay import Orders
+from ambershift.coordinator.routing.admit import Admit
+from ambershift.coordinator.routing.book import Book
+from ambershift.coordinator.routing.call import Caller
+from ambershift.coordinator.routing.intake import Intake
+from ambershift.coordinator.routing.news import News
+from ambershift.coordinator.routing.probe import Prober
+from ambershift.coordinator.routing.relay import Relay
+from ambershift.coordinator.routing.route import Route
+from ambershift.coordinator.routing.send import Send
+from ambershift.coordinator.routing.watch import Watcher
+from ambershift.coordinator.transport.buffers import Pool
+from ambershift.coordinator.transport.dialler import Dialler
+from ambershift.coordinator.transport.listener import Listener
+from ambershift.policy import TableManager
+
+BUFFER_SIZE, BUFFERS_MOST = 16 * 1024, 1024
+DIAL_LIMIT, TOTALS_EVERY, RESTART_PAUSE = 1.0, 10.0, 0.1
+# Of the descriptors allowed, what the program itself, its calls and its probes may need is left aside.
+OWN_DESCRIPTORS, ACCEPTED_MOST = 128, 512
+
+
+class Coordinator:
+    def __init__(self, start: Start, book: Book) -> None:
+        self.start, self.book = start, book
+        clock, pool = Clock(), Pool(BUFFER_SIZE, BUFFERS_MOST)
+        dialler, self.admit = Dialler(pool), Admit(start.names)
+        self.route = Route(TableManager(), clock.now, book)
+        put = self.route.put
+        orders = Orders(self.admit.door.ids.__getitem__, start.names.groups)
+        self.relay = Relay(dialler, start.relay, orders, book)
+        self.news = News(dialler, start.relay, self.admit, put, book)
+        caller = Caller(dialler, start.discovery, DIAL_LIMIT)
+        self.watcher = Watcher(caller, start.known.version, start.terms.told_after, self.admit, put, book)
+        prober = Prober(dialler, self.admit, clock.now, put, book)
+        self.route.carry = Send(self.route, self.relay, self.watcher, prober, book).carry
+        self.intake = Intake(self.admit, put, book)
+        most = max(8, min(ACCEPTED_MOST, start.sockets - OWN_DESCRIPTORS))
+        self.listener = Listener(pool, most, self.serve, partial(book.ended, "accepted"))
+
+    async def serve(self, link: Any) -> None:
+        await self.intake.serve(link, self.listener.heard)
+
+    async def run(self) -> None:
+        stop, loop = stop_event(), asyncio.get_running_loop()
+        loop.set_exception_handler(self.lost)
+        self.route.put(api.Born(self.start.seed, self.start.terms))
+        self.route.put(self.admit.listed(self.start.known, True))
+        # Whoever gets `alive` finds a module that is born: the first step runs before the listener opens.
+        await asyncio.sleep(0)
+        try:
+            await self.listener.open(self.start.listen)
+        except OSError as error:
+            raise BadStartError(f"key 'listen': can't listen there ({error.strerror})") from None
+        parts = {
+            "relay": self.relay.run, "news": self.news.run, "watch": self.watcher.run, "totals": self.totals}
+        tasks = [loop.create_task(self.keep(name, run)) for name, run in parts.items()]
+        self.book.note("ready", servers=len(self.start.known.servers))
+        await stop.wait()
+        self.listener.close()
+        for task in tasks:
+            task.cancel()
+        self.book.note("stopped")
+
+    async def keep(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a part for as long as the program runs; an error that it did not foresee is told, not lost."""
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self.book.failure(name, error)
+            await asyncio.sleep(RESTART_PAUSE)
+
+    async def totals(self) -> None:
+        while True:
+            await asyncio.sleep(TOTALS_EVERY)
+            self.book.totals()
+
+    def lost(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Errors that asyncio found in nobody's hands."""
+        error = context.get("exception")
+        self.book.failure("loop", error or RuntimeError(str(context.get("message"))))
+
+
+def main() -> int:
+    log = LogWriter(1, os.environ.get("BALANCER_NAME", ""))
+    try:
+        start = read(os.environ)
+        asyncio.run(Coordinator(start, Book(log.write)).run())
+    except BadStartError as error:
+        log.write({"event": "bad_start", "why": str(error)})
+        return 2
+    finally:
+        log.end()
+    return 0
--- /dev/null
+++ b/ambershift/coordinator/program/configuration.py
@@ -0,0 +1,88 @@
+"""Reads what a coordinator is told at its start."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import orjson
+
+from ambershift import interface as api
+from ambershift.coordinator.protocol import discovery
+from ambershift.coordinator.protocol.words import UnreadableError
+from ambershift.coordinator.transport.dialler import split_address
+from ambershift.terms import Names, TermsError, read_names, read_terms
+
+PLACE = "BALANCER_CONFIG"
+
+
+class BadStartError(Exception):
+    """The program can't start with what it was told; the message names the key."""
+
+
+class Start(NamedTuple):
+    name: str
+    listen: str
+    discovery: str
+    relay: str
+    seed: int
+    sockets: int
+    known: discovery.Listing
+    terms: api.Terms
+    names: Names
+
+
+def read(environment: Mapping[str, str]) -> Start:
+    place = environment.get(PLACE)
+    if not place:
+        raise BadStartError(f"{PLACE} is not set")
+    try:
+        found = orjson.loads(Path(place).read_bytes())
+    except OSError as error:
+        raise BadStartError(f"{PLACE}: can't be read ({error.strerror})") from None
+    except orjson.JSONDecodeError as error:
+        raise BadStartError(f"{PLACE}: not JSON ({error})") from None
+    if not isinstance(found, dict):
+        raise BadStartError(f"{PLACE}: not an object")
+    return build(found)
+
+
+def build(found: dict[str, Any]) -> Start:
+    try:
+        known = discovery.build(needed(found, "known", dict))
+    except UnreadableError as error:
+        raise BadStartError(f"key 'known': {error}") from None
+    settings = needed(found, "settings", dict)
+    try:
+        terms, names = read_terms(settings), read_names(settings)
+    except TermsError as error:
+        raise BadStartError(str(error)) from None
+    seed = needed(found, "seed", str)
+    try:
+        number = int(seed, 16)
+    except ValueError:
+        raise BadStartError("key 'seed' is no hexadecimal number") from None
+    sockets = needed(needed(found, "limits", dict), "sockets", int, "limits.")
+    return Start(
+        name=needed(found, "name", str), listen=address(found, "listen"),
+        discovery=address(found, "discovery"),
+        relay=address(needed(found, "relay", dict), "address", "relay."), seed=number % (1 << 64),
+        sockets=sockets, known=known, terms=terms, names=names)
+
+
+def needed(found: Mapping[str, Any], key: str, kind: type, where: str = "") -> Any:
+    if key not in found:
+        raise BadStartError(f"key '{where}{key}' is missing")
+    if not isinstance(found[key], kind) or isinstance(found[key], bool):
+        raise BadStartError(f"key '{where}{key}' is of the wrong type")
+    return found[key]
+
+
+def address(found: Mapping[str, Any], key: str, where: str = "") -> str:
+    text: str = needed(found, key, str, where)
+    try:
+        split_address(text)
+    except ValueError as error:
+        raise BadStartError(f"key '{where}{key}': {error}") from None
+    return text
--- /dev/null
+++ b/ambershift/coordinator/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""What the bytes mean: pure codecs, with no input or output of their own."""
--- /dev/null
+++ b/ambershift/coordinator/protocol/relay.py
@@ -0,0 +1,143 @@
+"""The relay's text lines: calls that carry orders, their answers, and news of the proxies."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+from ambershift import interface as api
+from ambershift.coordinator.protocol.words import UnreadableError, figure, show, whole, yes
+
+ORDERS_MOST = 60_000
+FOLLOW = b"follow\r\n"
+EVERY_TABLE = 0xFFFF
+RelayOrder = api.Share | api.Clear | api.Withdraw | api.Level | api.Bind | api.Mark
+
+
+class Busy(NamedTuple):
+    """The call was turned away, not carried out."""
+
+
+class Misread(NamedTuple):
+    """The relay can't make out the call; nothing of it was carried out."""
+
+
+class Done(NamedTuple):
+    taken: int
+
+
+class Hello(NamedTuple):
+    proxy: int
+    zone: str
+    weight: float
+    fresh: bool
+
+
+class Bye(NamedTuple):
+    proxy: int
+
+
+class Ack(NamedTuple):
+    proxy: int
+    mark: int
+    took_ms: float
+
+
+class Sign(NamedTuple):
+    """A sign of life, and nothing else."""
+
+
+class Following(NamedTuple):
+    """The answer to `follow`: what stands comes next, then the news."""
+
+
+Answer = Done | Busy | Misread
+News = Hello | Bye | Ack | Sign | Following
+
+
+def decimal(value: float) -> str:
+    """The shortest words for a figure, without an exponent that not every reader takes."""
+    return f"{value:.6f}".rstrip("0").rstrip(".")
+
+
+class Orders:
+    """Writes orders with the ids and group names of one instance."""
+
+    def __init__(self, server: Callable[[int], str], groups: Sequence[str]) -> None:
+        self.server, self.groups = server, groups
+
+    def mask(self, mask: int) -> str:
+        chosen = [name for at, name in enumerate(self.groups) if mask >> at & 1]
+        return "+".join(chosen) if chosen and len(chosen) < len(self.groups) else "*"
+
+    def write(self, order: RelayOrder) -> str:
+        match order:
+            case api.Share():
+                return f"put,{order.table},{self.server(order.server)},{decimal(order.weight)}"
+            case api.Clear():
+                return f"wipe,{order.table}"
+            case api.Bind():
+                return f"attach,{order.proxy},{order.table},{self.mask(order.mask)}"
+            case api.Withdraw():
+                return f"{'' if order.out else 'un'}eject,{self.server(order.server)}"
+            case api.Level():
+                table = "*" if order.table == EVERY_TABLE else str(order.table)
+                return f"gate,{table},{self.mask(order.mask)},{decimal(order.allowance)},{int(order.again)}"
+            case api.Mark():
+                return f"fence,{order.mark},{int(order.everyone)}"
+
+
+def pack(orders: Sequence[str]) -> bytes:
+    return b"txn " + ";".join(orders).encode("ascii") + b"\r\n"
+
+
+def split(orders: Sequence[str], most: int = ORDERS_MOST) -> list[list[str]]:
+    """Cut one reply into calls that each hold at most so many bytes of orders, never inside an order."""
+    calls, size = list[list[str]](), most
+    for order in orders:
+        if size + 1 + len(order) > most:
+            calls.append([])
+            size = -1
+        calls[-1].append(order)
+        size += 1 + len(order)
+    return calls
+
+
+def read_answer(line: bytes, orders: int) -> Answer:
+    words = line.decode("ascii", "replace").split()
+    match words:
+        case ["OK", count]:
+            return Done(whole(count, "OK", orders))
+        case [*_] if "too_many_calls" in words or "unavailable" in words:
+            return Busy()
+        case [*_] if "bad_request" in words:
+            return Misread()
+    raise UnreadableError(f"'{show(line)}' is no answer to a call")
+
+
+READERS: dict[str, tuple[int, Callable[..., Any]]] = {
+    "hello": (4, lambda proxy, zone, weight, fresh: Hello(
+        whole(proxy, "proxy"), zone, figure(weight, "weight"), yes(fresh, "fresh"))),
+    "bye": (1, lambda proxy: Bye(whole(proxy, "proxy"))),
+    "ack": (3, lambda proxy, mark, took: Ack(
+        whole(proxy, "proxy"), whole(mark, "mark"), figure(took, "took_ms"))),
+}
+
+
+def read_news(line: bytes) -> News | Busy | Misread:
+    words = line.decode("ascii", "replace").split()
+    if words == ["OK"]:
+        return Following()
+    if not words or words[0] != "*":
+        if "too_many_calls" in words or "unavailable" in words:
+            return Busy()
+        if "bad_request" in words:
+            return Misread()
+        raise UnreadableError(f"'{show(line)}' is no news")
+    if len(words) == 1:
+        return Sign()
+    count, build = READERS.get(words[1], (-1, None))
+    if build is None or len(words) != count + 2:
+        raise UnreadableError(f"'{show(line)}' is no news")
+    news: News = build(*words[2:])
+    return news
--- /dev/null
+++ b/ambershift/coordinator/routing/admit.py
@@ -0,0 +1,67 @@
+"""Admit: lets through what speaks of known things within bounds, in the module's terms."""
+
+from __future__ import annotations
+
+from ambershift import interface as api
+from ambershift.coordinator.protocol import discovery, lines, relay
+from ambershift.door import Door
+from ambershift.terms import Names, to_ns
+
+TRIES_MOST = 10_000_000
+
+
+class RefusedError(Exception):
+    """Well formed, but of something that this coordinator does not know or can't believe."""
+
+
+class Admit:
+    def __init__(self, names: Names) -> None:
+        self.names, self.door = names, Door[str]()
+        self.addresses = dict[int, str]()
+        self.zones = {name: at for at, name in enumerate(names.zones)}
+        self.groups = {name: at for at, name in enumerate(names.groups)}
+
+    def proxy(self, number: int) -> int:
+        if number >= self.names.proxies:
+            raise RefusedError(f"proxy {number} is beyond the {self.names.proxies} of the settings")
+        return number
+
+    def zone(self, name: str) -> int:
+        if name not in self.zones:
+            raise RefusedError("unknown zone")
+        return self.zones[name]
+
+    def loads(self, report: dict[str, float]) -> tuple[float, ...]:
+        """The figures in the order of the settings; a report that lacks one counts as none."""
+        fields = self.names.load_fields
+        return tuple(report[name] for name in fields) if all(name in report for name in fields) else ()
+
+    def report(self, message: lines.Outcomes | lines.Demand) -> api.Met | api.Usage:
+        if message.tries > TRIES_MOST:
+            raise RefusedError("more tries than there can be")
+        span = to_ns(message.span_ms)
+        if isinstance(message, lines.Demand):
+            group = self.groups.get(message.group)
+            if group is None:
+                raise RefusedError("unknown class")
+            return api.Usage(self.proxy(message.proxy), group, message.tries, message.failed, span)
+        server = self.door.known(message.server)
+        if server is None:
+            raise RefusedError("a server that was never listed")
+        return api.Met(self.zone(message.zone), server, message.tries, message.failed,
+                       to_ns(message.mean_ms), span, self.loads(message.load))
+
+    def joined(self, hello: relay.Hello) -> api.Joined:
+        return api.Joined(self.proxy(hello.proxy), self.zone(hello.zone), hello.weight, hello.fresh)
+
+    def applied(self, ack: relay.Ack) -> api.Applied:
+        return api.Applied(ack.mark, to_ns(ack.took_ms), self.proxy(ack.proxy))
+
+    def listed(self, listing: discovery.Listing, cached: bool) -> api.Listed:
+        entries = []
+        for one in listing.servers:
+            index = self.door.index(one.id)
+            self.addresses[index] = one.address
+            entries.append(api.Entry(index, self.zones.get(one.zone, -1), one.phase, one.weight,
+                                     to_ns(one.started_ms)))
+        return api.Listed(listing.full, cached, tuple(entries))
--- /dev/null
+++ b/ambershift/coordinator/routing/call.py
@@ -0,0 +1,64 @@
+"""One HTTP client to one address: calls one after the other, over a connection that is used again."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ambershift.coordinator.protocol import http
+from ambershift.coordinator.protocol.words import UnreadableError
+from ambershift.coordinator.transport.dialler import Dialler
+from ambershift.coordinator.transport.endings import MEANING, EndedError, Ending
+from ambershift.coordinator.transport.link import Link
+
+
+class Caller:
+    def __init__(self, dialler: Dialler, address: str, dial_limit: float) -> None:
+        self.dialler, self.address, self.dial_limit = dialler, address, dial_limit
+        self.link: Link | None = None
+        self.exchange = http.Exchange(address)
+
+    async def call(self, target: str, limit: float) -> http.Answer:
+        """One answer within the limit; without one the connection is at its end, and this tells how."""
+        try:
+            async with asyncio.timeout(limit):
+                used = self.link is not None
+                try:
+                    return await self.once(target)
+                except EndedError as end:
+                    # What lay idle may have been closed before our words came there.
+                    if not used or not MEANING[end.ending].fresh:
+                        raise
+                    self.close()
+                    return await self.once(target)
+        except TimeoutError:
+            self.close()
+            raise EndedError(Ending.SILENT) from None
+        except BaseException:
+            self.close()
+            raise
+
+    async def once(self, target: str) -> http.Answer:
+        if self.link is None or self.link.gone():
+            self.close()
+            self.link = await self.dialler.dial(self.address, self.dial_limit)
+            self.exchange = http.Exchange(self.address)
+        try:
+            await self.link.write(self.exchange.ask(target), self.dial_limit)
+            heard = 0
+            while True:
+                chunk = await self.link.chunk(None)
+                if not chunk and not heard:
+                    raise EndedError(Ending.IDLE if self.link.used else Ending.CUT_SHORT)
+                heard += len(chunk)
+                if answer := self.exchange.hear(chunk):
+                    break
+        except UnreadableError as error:
+            raise EndedError(Ending.UNREADABLE, str(error)) from None
+        if not self.exchange.reusable():
+            self.close()
+        return answer
+
+    def close(self) -> None:
+        if self.link:
+            self.link.close()
+        self.link = None
--- /dev/null
+++ b/ambershift/coordinator/routing/relay.py
@@ -0,0 +1,101 @@
+"""Relay: makes the calls that carry orders, strictly in order and one at a time, and heeds the answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Sequence
+
+from ambershift.coordinator.protocol import relay as codec
+from ambershift.coordinator.protocol.words import UnreadableError
+from ambershift.coordinator.routing.book import Book
+from ambershift.coordinator.transport.dialler import Dialler
+from ambershift.coordinator.transport.endings import EndedError, Ending
+from ambershift.coordinator.transport.link import Link
+
+DIAL_LIMIT, WRITE_LIMIT, ANSWER_LIMIT = 0.5, 0.5, 0.25
+PAUSE_LEAST, PAUSE_MOST, BUSY_PAUSE = 0.02, 0.5, 0.1
+
+
+class Relay:
+    def __init__(self, dialler: Dialler, address: str, orders: codec.Orders, book: Book) -> None:
+        self.dialler, self.address, self.orders, self.book = dialler, address, orders, book
+        self.calls = deque[list[str]]()
+        self.wake, self.pause = asyncio.Event(), 0.0
+        self.link: Link | None = None
+
+    def push(self, reply: Sequence[codec.RelayOrder]) -> None:
+        self.calls.extend(codec.split([self.orders.write(order) for order in reply]))
+        self.wake.set()
+
+    async def run(self) -> None:
+        while True:
+            while self.calls:
+                await self.attempt()
+            self.wake.clear()
+            await self.wake.wait()
+
+    async def attempt(self) -> None:
+        """Make the first call of the row; it leaves the row only once its outcome is known."""
+        orders, clock = self.calls[0], asyncio.get_running_loop().time
+        try:
+            link = await self.connect()
+            started = clock()
+            await link.write(codec.pack(orders), WRITE_LIMIT)
+            answer = codec.read_answer(await self.answer(link), len(orders))
+        except (EndedError, UnreadableError) as error:
+            end = error if isinstance(error, EndedError) else EndedError(Ending.UNREADABLE, str(error))
+            await self.broke(end)
+            return
+        self.pause = 0.0
+        if isinstance(answer, codec.Busy):
+            self.book.count("calls_turned_away")
+            await asyncio.sleep(BUSY_PAUSE)
+            return
+        self.calls.popleft()
+        if isinstance(answer, codec.Misread):
+            self.misread(orders)
+            return
+        self.book.note("call", orders=len(orders), taken=answer.taken, ms=round((clock() - started) * 1e3, 1))
+        if answer.taken < len(orders):
+            # Those before it stand and it never will: it would hold up all that come after.
+            self.book.note("order_not_taken", order=orders[answer.taken])
+            if rest := orders[answer.taken + 1:]:
+                self.calls.appendleft(rest)
+
+    def misread(self, orders: list[str]) -> None:
+        """Nothing of the call was carried out: its orders go out singly, so that one alone is lost."""
+        if len(orders) == 1:
+            self.book.note("order_not_read", order=orders[0])
+        else:
+            self.calls.extendleft([order] for order in reversed(orders))
+
+    async def connect(self) -> Link:
+        if self.link and self.link.gone():  # The relay closes what is idle.
+            self.close()
+        if not self.link:
+            self.link = await self.dialler.dial(self.address, DIAL_LIMIT)
+        return self.link
+
+    async def answer(self, link: Link) -> bytes:
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT):
+                while not (found := await link.lines(None)):
+                    pass
+        except TimeoutError:
+            raise EndedError(Ending.SILENT) from None
+        if len(found) > 1:
+            raise EndedError(Ending.UNREADABLE, "two answers to one call")
+        return found[0]
+
+    async def broke(self, end: EndedError) -> None:
+        """The call may have been carried out or not: it stays first in the row, and goes out again."""
+        self.close()
+        self.book.ended("call", end, waiting=len(self.calls))
+        await asyncio.sleep(self.pause)
+        self.pause = min(PAUSE_MOST, max(PAUSE_LEAST, 2 * self.pause))
+
+    def close(self) -> None:
+        if self.link:
+            self.link.close()
+        self.link = None
--- /dev/null
+++ b/ambershift/coordinator/routing/watch.py
@@ -0,0 +1,77 @@
+"""Watch: asks discovery for the list and its changes, and tells the module what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ambershift import interface as api
+from ambershift.coordinator.protocol import discovery
+from ambershift.coordinator.protocol.words import UnreadableError
+from ambershift.coordinator.routing.admit import Admit
+from ambershift.coordinator.routing.book import Book
+from ambershift.coordinator.routing.call import Caller
+from ambershift.coordinator.transport.endings import MEANING, EndedError, Ending
+
+# Discovery answers a call within 6 s, and one that may wait 2 s after the wait ends, or counts it as told.
+ANSWER_LIMIT, AFTER_WAIT = 6.0, 2.0
+SECOND = 1_000_000_000
+
+
+class Watcher:
+    """Asks again right after each answer, so that one watch goes on; when to ask again after a failure is
+    the module's to say. A watch waits a fifth of the time in which an unasked change counts as told."""
+
+    def __init__(self, caller: Caller, version: int, told_after: int, admit: Admit,
+                 put: Callable[[api.Event], None], book: Book) -> None:
+        self.caller, self.version, self.admit, self.put, self.book = caller, version, admit, put, book
+        self.wait = min(told_after / 5 / SECOND, 60.0)
+        self.watching, self.fetching, self.first = False, False, False
+        self.wake = asyncio.Event()
+
+    def watch(self, on: bool) -> None:
+        self.watching, self.first = on, True
+        self.wake.set()
+
+    def fetch(self) -> None:
+        self.fetching = True
+        self.wake.set()
+
+    async def run(self) -> None:
+        while True:
+            self.wake.clear()
+            if self.fetching:
+                self.fetching = False
+                await self.ask(discovery.WHOLE, ANSWER_LIMIT, True)
+            elif self.watching:
+                target = discovery.watch(self.version, round(self.wait * 1000))
+                if await self.ask(target, self.wait + AFTER_WAIT, self.first):
+                    self.first = False
+                else:
+                    self.watching = False
+            else:
+                await self.wake.wait()
+
+    async def ask(self, target: str, limit: float, tell: bool) -> bool:
+        try:
+            answer = await self.caller.call(target, limit)
+            if answer.status != 200:
+                raise EndedError(Ending.TURNED_AWAY if answer.status == 503 else Ending.UNREADABLE,
+                            f"status {answer.status}")
+            listing = discovery.read(answer.body)
+            if not listing.full and listing.version < self.version:
+                raise UnreadableError(f"changes to version {listing.version}, but {self.version} is held")
+        except (EndedError, UnreadableError) as error:
+            end = error if isinstance(error, EndedError) else EndedError(Ending.UNREADABLE, str(error))
+            self.book.ended("discovery", end)
+            self.book.note("list_failed", how=end.ending.name.lower())
+            if MEANING[end.ending].list_failed:
+                self.put(api.ListFailed())
+            return False
+        self.version = listing.version
+        if tell or listing.full or listing.servers:
+            self.book.note("listed", version=listing.version, full=listing.full, entries=len(listing.servers),
+                           changes={one.id: one.phase.name for one in listing.servers}
+                           if len(listing.servers) < 6 else {})
+            self.put(self.admit.listed(listing, False))
+        return True
--- /dev/null
+++ b/ambershift/coordinator/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes over sockets: connections, their ends, time limits, lines and buffers."""
--- /dev/null
+++ b/ambershift/coordinator/transport/link.py
@@ -0,0 +1,66 @@
+"""One connection, either way round: reads and writes with time limits, and one way of ending."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Sequence
+
+from ambershift.coordinator.transport.buffers import Pool
+from ambershift.coordinator.transport.endings import EndedError, Ending, ended
+from ambershift.coordinator.transport.lines import Framer
+
+UNREAD_MOST = 128 * 1024
+LINE_MOST = 1 << 20
+
+
+class Link:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, pool: Pool) -> None:
+        self.reader, self.writer, self.size = reader, writer, pool.size
+        self.framer, self.used = Framer(pool, LINE_MOST), False
+        writer.transport.set_write_buffer_limits(high=UNREAD_MOST)
+
+    async def chunk(self, limit: float | None) -> bytes:
+        """The next bytes, or b"" where the other side has ended in good order."""
+        try:
+            async with asyncio.timeout(limit):
+                return await self.reader.read(self.size)
+        except TimeoutError:
+            raise EndedError(Ending.SILENT) from None
+        except (OSError, EOFError) as error:
+            raise ended(error) from None
+
+    async def lines(self, limit: float | None) -> Sequence[bytes]:
+        """The lines that have come together: at least one, unless only a part of one has come."""
+        chunk = await self.chunk(limit)
+        if not chunk:
+            raise EndedError(Ending.CUT_SHORT if self.framer.waiting.length else Ending.IDLE)
+        return list(self.framer.feed(chunk))
+
+    async def write(self, data: bytes, limit: float) -> None:
+        self.used = True
+        try:
+            async with asyncio.timeout(limit):
+                self.writer.write(data)
+                await self.writer.drain()
+        except TimeoutError:
+            raise EndedError(Ending.UNREAD) from None
+        except (OSError, EOFError) as error:
+            raise ended(error) from None
+
+    def say(self, data: bytes) -> None:
+        """Write without waiting; one who never reads is cut off before much has piled up."""
+        if self.writer.transport.get_write_buffer_size() > UNREAD_MOST // 2:
+            raise EndedError(Ending.UNREAD)
+        self.writer.write(data)
+
+    def gone(self) -> bool:
+        """Whether the other side has ended it already, as far as is known here."""
+        return self.reader.at_eof() or self.writer.is_closing() or self.reader.exception() is not None
+
+    def close(self) -> None:
+        self.framer.close()
+        with contextlib.suppress(OSError, RuntimeError):
+            if self.writer.transport.get_write_buffer_size():
+                self.writer.transport.abort()  # Else closing would wait for one who does not read.
+            self.writer.close()
--- /dev/null
+++ b/ambershift/terms.py
@@ -0,0 +1,111 @@
+"""Reads the settings that an instance gets at its start, for every front: terms, and the names of things."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from ambershift import interface as api
+
+NS_PER_MS = 1_000_000
+
+
+class TermsError(Exception):
+    """Settings that can't be used; the message names the key."""
+
+
+class Names(NamedTuple):
+    """What a front that speaks in names needs beside the terms."""
+
+    zones: tuple[str, ...]
+    groups: tuple[str, ...]
+    load_fields: tuple[str, ...]
+    proxies: int
+    may_probe: bool
+    probe_limit: int
+
+
+def to_ns(ms: float) -> int:
+    return round(ms * NS_PER_MS) if math.isfinite(ms) else 0
+
+
+def needed(found: Mapping[str, Any], key: str, where: str = "") -> Any:
+    if key not in found:
+        raise TermsError(f"settings: key '{where}{key}' is missing")
+    return found[key]
+
+
+def number(found: Mapping[str, Any], key: str, default: float | None = None, where: str = "") -> float:
+    value = needed(found, key, where) if default is None else found.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+        raise TermsError(f"settings: key '{where}{key}' is not a number")
+    return value
+
+
+def section(found: Mapping[str, Any], key: str) -> Mapping[str, Any]:
+    value = found.get(key, {})
+    if not isinstance(value, dict):
+        raise TermsError(f"settings: key '{key}' is not an object")
+    return value
+
+
+def filled_list(found: Mapping[str, Any], key: str) -> list[Any]:
+    value = needed(found, key)
+    if not isinstance(value, list) or not value:
+        raise TermsError(f"settings: key '{key}' must be a list that is not empty")
+    return value
+
+
+REPEATS = {
+    "free": api.Repeat.RETRIABLE, "guarded": api.Repeat.DEDUPED, "single_shot": api.Repeat.NON_RETRIABLE}
+
+
+def read_terms(found: Any) -> api.Terms:
+    """Turn the settings into terms; unknown keys are passed over."""
+    if not isinstance(found, dict):
+        raise TermsError("settings: not an object")
+    info, rules = section(found, "family_info"), section(found, "rules")
+    classes, zones = filled_list(found, "classes"), filled_list(found, "zones")
+    groups = []
+    for at, one in enumerate(classes):
+        where = f"classes[{at}]."
+        if not isinstance(one, dict):
+            raise TermsError(f"settings: key 'classes[{at}]' is not an object")
+        effect = needed(one, "effect", where)
+        groups.append(api.Group(
+            budget=to_ns(number(one, "on_time", None, where)),
+            expiry=to_ns(number(one, "deadline", None, where)),
+            utility=number(one, "worth", 1.0, where),
+            repeat=REPEATS.get(str(effect), api.Repeat.NON_RETRIABLE),
+            dedup_everywhere=one.get("group", "all") == "all",
+            dedup_window=to_ns(number(one, "dedup_window", 0, where))))
+    return api.Terms(
+        zones=len(zones), groups=tuple(groups), must_watch=found.get("discovery") == "subscribe",
+        told_after=to_ns(number(rules, "ask_within", 10_000)),
+        grace=to_ns(number(rules, "stop_sending_within", None, "rules.")),
+        only_draining_binds=bool(rules.get("soft_removal", False)),
+        cold=to_ns(number(rules, "cold", 0)), cold_share=number(rules, "cold_share", 1.0),
+        fall_multiple=number(rules, "tip_multiple", 4.0),
+        bare_limit=to_ns(number(info, "blackhole", 3000)),
+        lines_per_s=number(info, "egress_per_s", None, "family_info."), head=number(info, "per_message", 0),
+        waiting_limit=number(info, "most_waiting", None, "family_info."),
+        message_limit=int(number(info, "messages_most", 0)),
+        message_span=to_ns(number(info, "reload_span", 10_000)),
+        way=to_ns(number(info, "late", 0)), way_most=to_ns(number(info, "push_delay_max", 0)),
+        report_period=to_ns(number(info, "cycle", 1000)), levels=str(info.get("admit", "silent")),
+        slices=int(number(info, "slices", 0)),
+        single_owner=bool(info.get("one_owner", False)),
+        in_hand=to_ns(number(info, "in_flight_max", 0)), lease=to_ns(number(info, "tenure", 0)))
+
+
+def read_names(found: Mapping[str, Any]) -> Names:
+    """The names in their order, from settings that `read_terms` has found good."""
+    info, limits = section(found, "family_info"), section(found, "limits")
+    groups = [str(needed(one, "name", f"classes[{at}].")) for at, one in enumerate(found["classes"])]
+    return Names(
+        zones=tuple(str(zone) for zone in found["zones"]), groups=tuple(groups),
+        load_fields=tuple(str(one) for one in section(found, "report").get("fields", ())),
+        proxies=int(number(info, "proxies", None, "family_info.")),
+        may_probe=bool(limits.get("may_probe", False)),
+        probe_limit=to_ns(number(limits, "dial_timeout", 1000)))
