--- a/ambershift/coordinator/program/assembly.py
+++ b/ambershift/coordinator/program/assembly.py
@@ -17,6 +17,7 @@
 from ambershift.coordinator.routing.admit import Admit
 from ambershift.coordinator.routing.book import Book
 from ambershift.coordinator.routing.call import Caller
+from ambershift.coordinator.routing.follow import Follower
 from ambershift.coordinator.routing.intake import Intake
 from ambershift.coordinator.routing.news import News
 from ambershift.coordinator.routing.probe import Prober
@@ -44,7 +45,7 @@
         put = self.route.put
         orders = Orders(self.admit.door.ids.__getitem__, start.names.groups)
         self.relay = Relay(dialler, start.relay, orders, book)
-        self.news = News(dialler, start.relay, self.admit, put, book)
+        self.follower = Follower(dialler, start.relay, News(self.admit, put, book), book)
         caller = Caller(dialler, start.discovery, DIAL_LIMIT)
         self.watcher = Watcher(caller, start.known.version, start.terms.told_after, self.admit, put, book)
         prober = Prober(dialler, self.admit, clock.now, put, book)
@@ -67,8 +68,9 @@
             await self.listener.open(self.start.listen)
         except OSError as error:
             raise BadStartError(f"key 'listen': can't listen there ({error.strerror})") from None
-        parts = {
-            "relay": self.relay.run, "news": self.news.run, "watch": self.watcher.run, "totals": self.totals}
+        parts: dict[str, Callable[[], Awaitable[None]]] = {
+            "relay": self.relay.run, "watch": self.watcher.run, "totals": self.totals,
+            "news": partial(self.follower.run, 0), "news again": partial(self.follower.run, 1)}
         tasks = [loop.create_task(self.keep(name, run)) for name, run in parts.items()]
         self.book.note("ready", servers=len(self.start.known.servers))
         await stop.wait()
--- a/ambershift/coordinator/protocol/http.py
+++ b/ambershift/coordinator/protocol/http.py
@@ -21,17 +21,18 @@
 
     def __init__(self, host: str) -> None:
         self.host, self.state = host, h11.Connection(h11.CLIENT, max_incomplete_event_size=64 * 1024)
-        self.status, self.parts, self.size = 0, list[bytes](), 0
+        self.status, self.parts, self.size, self.begun = 0, list[bytes](), 0, False
 
     def ask(self, target: str) -> bytes:
         if self.state.our_state is h11.DONE:
             self.state.start_next_cycle()
-        self.status, self.parts, self.size = 0, [], 0
+        self.status, self.parts, self.size, self.begun = 0, [], 0, False
         head = h11.Request(method="GET", target=target, headers=[("Host", self.host)])
         return (self.state.send(head) or b"") + (self.state.send(h11.EndOfMessage()) or b"")
 
     def hear(self, chunk: bytes) -> Answer | None:
         """Take bytes in (none: the other side has ended) and give the answer once it is whole."""
+        self.begun |= bool(chunk)
         try:
             self.state.receive_data(chunk)
             while True:
--- a/ambershift/coordinator/protocol/lines.py
+++ b/ambershift/coordinator/protocol/lines.py
@@ -69,10 +69,10 @@
     if kind == "agent":
         return Agent(given["zone"])
     tries, failed = whole(given["tries"], "tries"), whole(given["failed"], "failed")
-    if failed > tries:
-        raise UnreadableError(f"{kind}: more failed than were tried")
     span = figure(given["span_ms"], "span_ms")
-    if kind == "demand":
+    if kind == "demand":  # What failed in this span may have come in an earlier one.
         return Demand(whole(given["proxy"], "proxy"), given["class"], tries, failed, span)
+    if failed > tries:
+        raise UnreadableError(f"{kind}: more failed than were tried")
     return Outcomes(given["zone"], given["server"], tries, failed, figure(given["mean_ms"], "mean_ms"), span,
                     pairs(given.get("load", ""), "load"))
--- a/ambershift/coordinator/protocol/relay.py
+++ b/ambershift/coordinator/protocol/relay.py
@@ -103,6 +103,24 @@
     return calls
 
 
+KEYS = {"put": 3, "wipe": 2, "attach": 2, "eject": 2, "uneject": 2, "gate": 3, "fence": 1}
+
+
+def fold(orders: Sequence[str]) -> list[str]:
+    """Leave out each order that a later one makes void, so that what has waited for long stays bounded."""
+    left = dict[tuple[str, ...], str]()
+    for order in orders:
+        words = order.split(",")
+        key = tuple(words[:KEYS[words[0]]])
+        if words[0] == "attach":
+            key += (words[3],)
+        elif words[0] == "uneject":
+            key = ("eject", words[1])
+        left.pop(key, None)  # A later order takes its own place: it may rest on what came in between.
+        left[key] = order
+    return list(left.values())
+
+
 def read_answer(line: bytes, orders: int) -> Answer:
     words = line.decode("ascii", "replace").split()
     match words:
--- a/ambershift/coordinator/routing/call.py
+++ b/ambershift/coordinator/routing/call.py
@@ -44,14 +44,12 @@
             self.exchange = http.Exchange(self.address)
         try:
             await self.link.write(self.exchange.ask(target), self.dial_limit)
-            heard = 0
-            while True:
+            answer = None
+            while not answer:
                 chunk = await self.link.chunk(None)
-                if not chunk and not heard:
-                    raise EndedError(Ending.IDLE if self.link.used else Ending.CUT_SHORT)
-                heard += len(chunk)
-                if answer := self.exchange.hear(chunk):
-                    break
+                if not chunk and not self.exchange.begun:
+                    raise EndedError(Ending.CUT_SHORT)
+                answer = self.exchange.hear(chunk)
         except UnreadableError as error:
             raise EndedError(Ending.UNREADABLE, str(error)) from None
         if not self.exchange.reusable():
--- /dev/null
+++ b/ambershift/coordinator/routing/follow.py
@@ -0,0 +1,74 @@
+"""Follow: keeps the connections up on which the relay's news come, and reads them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ambershift.coordinator.protocol import relay as codec
+from ambershift.coordinator.protocol.words import UnreadableError
+from ambershift.coordinator.routing.book import Book
+from ambershift.coordinator.routing.news import News
+from ambershift.coordinator.transport.dialler import Dialler
+from ambershift.coordinator.transport.endings import EndedError, Ending
+from ambershift.coordinator.transport.link import Link
+
+DIAL_LIMIT, WRITE_LIMIT = 0.5, 0.5
+# The relay gives a sign of life each second; one may come late, a second one missing is a broken stream.
+SILENCE = 2.2
+PAUSE_LEAST, PAUSE_MOST = 0.05, 0.5
+
+
+class Follower:
+    def __init__(self, dialler: Dialler, address: str, news: News, book: Book) -> None:
+        self.dialler, self.address, self.news, self.book = dialler, address, news, book
+        self.turn = asyncio.Lock()  # One at a time is told what stands, or each would take it for news.
+
+    async def run(self, place: int) -> None:
+        pause = 0.0
+        while True:
+            try:
+                await self.connect(place)
+            except EndedError as end:
+                self.book.ended("news", end, place=place)
+            pause = 0.0 if self.news.end(place) else min(PAUSE_MOST, max(PAUSE_LEAST, 2 * pause))
+            await asyncio.sleep(pause)
+
+    async def connect(self, place: int) -> None:
+        link = await self.dialler.dial(self.address, DIAL_LIMIT)
+        try:
+            await self.follow(link, place)
+        finally:
+            link.close()
+
+    async def follow(self, link: Link, place: int) -> None:
+        async with self.turn:
+            self.news.begin(place)
+            await link.write(codec.FOLLOW, WRITE_LIMIT)
+            rest = await self.answered(link)
+            self.pass_on(rest, place)
+            while not self.news.streams[place].level:
+                self.pass_on(await link.lines(SILENCE), place)
+        while True:
+            self.pass_on(await link.lines(SILENCE), place)
+
+    async def answered(self, link: Link) -> list[bytes]:
+        """Wait for `OK` and give the lines that came along with it."""
+        while not (lines := list(await link.lines(SILENCE))):
+            pass
+        try:
+            first = codec.read_news(lines[0])
+        except UnreadableError as error:
+            raise EndedError(Ending.UNREADABLE, str(error)) from None
+        if not isinstance(first, codec.Following):
+            raise EndedError(Ending.TURNED_AWAY, repr(first))
+        return lines[1:]
+
+    def pass_on(self, lines: list[bytes], place: int) -> None:
+        for line in lines:
+            try:
+                news = codec.read_news(line)
+            except UnreadableError as error:
+                raise EndedError(Ending.UNREADABLE, str(error)) from None
+            if isinstance(news, codec.Busy | codec.Misread | codec.Following):
+                raise EndedError(Ending.UNREADABLE, repr(news))
+            self.news.take(place, news)
--- a/ambershift/coordinator/routing/news.py
+++ b/ambershift/coordinator/routing/news.py
@@ -1,104 +1,97 @@
-"""News: follows the relay and tells the module which proxies join, leave and have applied what."""
+"""News: what the relay tells of the proxies on two connections alike, told to the module once."""
 
 from __future__ import annotations
 
-import asyncio
+from collections import deque
 from collections.abc import Callable
 
 from ambershift import interface as api
 from ambershift.coordinator.protocol import relay as codec
-from ambershift.coordinator.protocol.words import UnreadableError
 from ambershift.coordinator.routing.admit import Admit, RefusedError
 from ambershift.coordinator.routing.book import Book
-from ambershift.coordinator.transport.dialler import Dialler
-from ambershift.coordinator.transport.endings import EndedError, Ending
-from ambershift.coordinator.transport.link import Link
 
-DIAL_LIMIT, WRITE_LIMIT = 0.5, 0.5
-# The relay gives a sign of life each second; one may come late, a second one missing is a broken stream.
-SILENCE = 2.2
-PAUSE_LEAST, PAUSE_MOST = 0.05, 0.5
+AHEAD_MOST = 4096
+
+
+class Stream:
+    """How far one connection has come: what stood at its beginning, and the news that it brought first."""
+
+    def __init__(self) -> None:
+        self.stood = dict[int, codec.Hello]()
+        self.level = False  # Whether all that stands has been told.
+        self.ahead = deque[codec.News](maxlen=AHEAD_MOST)
 
 
 class News:
-    def __init__(self, dialler: Dialler, address: str, admit: Admit, put: Callable[[api.Event], None],
-                 book: Book) -> None:
-        self.dialler, self.address, self.admit, self.put, self.book = dialler, address, admit, put, book
-        self.joined = set[int]()
-        self.missing: set[int] | None = None  # While what stands is told: had before, not named yet.
-
-    async def run(self) -> None:
-        pause = 0.0
-        while True:
-            try:
-                link = await self.dialler.dial(self.address, DIAL_LIMIT)
-            except EndedError as end:
-                self.book.ended("news", end)
-            else:
-                try:
-                    await self.follow(link)
-                except EndedError as end:
-                    self.book.ended("news", end)
-                    if self.missing is None:
-                        pause = 0.0
-                finally:
-                    link.close()
-            await asyncio.sleep(pause)
-            pause = min(PAUSE_MOST, max(PAUSE_LEAST, 2 * pause))
-
-    async def follow(self, link: Link) -> None:
-        self.missing = set(self.joined)
-        await link.write(codec.FOLLOW, WRITE_LIMIT)
-        following = False
-        while True:
-            for line in await link.lines(SILENCE):
-                try:
-                    news = codec.read_news(line)
-                    if isinstance(news, codec.Busy | codec.Misread):
-                        raise EndedError(Ending.TURNED_AWAY)
-                    if following == isinstance(news, codec.Following):
-                        raise UnreadableError("'OK' comes once, and first")
-                    following = True
-                    self.take(news)
-                except UnreadableError as error:
-                    raise EndedError(Ending.UNREADABLE, str(error)) from None
-                except RefusedError as error:
-                    self.book.note("refused", why=str(error))
-
-    def take(self, news: codec.News) -> None:
-        match news:
-            case codec.Hello():
-                self.hello(news)
-                return
-            case codec.Following():
-                return
-        self.compared()
-        match news:
-            case codec.Bye():
-                if news.proxy in self.joined:
-                    self.leave(news.proxy)
-            case codec.Ack():
-                self.book.count("acks")
-                self.put(self.admit.applied(news))
-
-    def hello(self, hello: codec.Hello) -> None:
-        event = self.admit.joined(hello)
-        if self.missing and hello.proxy in self.missing:
-            # It was here before the news broke. One that holds no ordered table has started anew.
-            self.missing.discard(hello.proxy)
-            if not hello.fresh:
+    """Keeps the set of joined proxies. Where one connection breaks the other goes on, and nothing is missed;
+    where both were broken, what stands is compared with what was known."""
+
+    def __init__(self, admit: Admit, put: Callable[[api.Event], None], book: Book) -> None:
+        self.admit, self.put, self.book = admit, put, book
+        self.joined = dict[int, codec.Hello]()
+        self.streams = Stream(), Stream()
+
+    def begin(self, place: int) -> None:
+        for stream in self.streams:
+            stream.ahead.clear()
+        self.streams[place].stood, self.streams[place].level = {}, False
+
+    def end(self, place: int) -> bool:
+        """The connection has broken, or never came up; tells whether it had told all that stands."""
+        was, self.streams[place].level = self.streams[place].level, False
+        return was
+
+    def take(self, place: int, news: codec.News) -> None:
+        stream, other = self.streams[place], self.streams[1 - place]
+        if not stream.level:
+            if isinstance(news, codec.Hello) and news.proxy not in stream.stood:
+                stream.stood[news.proxy] = news
+                if not other.level:
+                    self.stands(news)
                 return
-        self.joined.add(hello.proxy)
-        self.book.note("joined", proxy=hello.proxy, zone=hello.zone, fresh=hello.fresh)
-        self.put(event)
-
-    def compared(self) -> None:
-        """What stands has been told: who was here before and is not named has left meanwhile."""
-        for proxy in sorted(self.missing or ()):
-            self.leave(proxy)
-        self.missing = None
-
-    def leave(self, proxy: int) -> None:
-        self.joined.discard(proxy)
-        self.book.note("left", proxy=proxy)
-        self.put(api.Left(proxy))
+            self.levelled(stream, other)
+        if isinstance(news, codec.Sign):
+            return
+        if news in other.ahead:
+            # What the other brought before this and this one never will was told before this one began.
+            while other.ahead.popleft() != news:
+                pass
+            return
+        stream.ahead.append(news)
+        self.tell(news)
+
+    def levelled(self, stream: Stream, other: Stream) -> None:
+        """What stands has been told whole: who was here before and is not named has left meanwhile."""
+        stream.level = True
+        if not other.level:
+            for hello in stream.stood.values():
+                self.stands(hello)
+            for proxy in sorted(self.joined.keys() - stream.stood.keys()):
+                self.tell(codec.Bye(proxy))
+
+    def stands(self, hello: codec.Hello) -> None:
+        """A proxy known before is the same stream still, unless it has lost the tables it had from us."""
+        known = self.joined.get(hello.proxy)
+        if known is None or known.zone != hello.zone or hello.fresh and not known.fresh:
+            self.tell(hello)
+        else:
+            self.joined[hello.proxy] = hello
+
+    def tell(self, news: codec.News) -> None:
+        try:
+            match news:
+                case codec.Hello():
+                    self.put(self.admit.joined(news))
+                    self.joined[news.proxy] = news
+                    self.book.note("joined", proxy=news.proxy, zone=news.zone, fresh=news.fresh)
+                case codec.Bye():
+                    if self.joined.pop(news.proxy, None):
+                        self.put(api.Left(news.proxy))
+                        self.book.note("left", proxy=news.proxy)
+                case codec.Ack():
+                    self.put(self.admit.applied(news))
+                    self.book.count("acks")
+                    if known := self.joined.get(news.proxy):
+                        self.joined[news.proxy] = known._replace(fresh=False)
+        except RefusedError as error:
+            self.book.note("refused", why=str(error))
--- a/ambershift/coordinator/routing/relay.py
+++ b/ambershift/coordinator/routing/relay.py
@@ -15,6 +15,7 @@
 
 DIAL_LIMIT, WRITE_LIMIT, ANSWER_LIMIT = 0.5, 0.5, 0.25
 PAUSE_LEAST, PAUSE_MOST, BUSY_PAUSE = 0.02, 0.5, 0.1
+WAITING_MOST = 32
 
 
 class Relay:
@@ -25,7 +26,14 @@
         self.link: Link | None = None
 
     def push(self, reply: Sequence[codec.RelayOrder]) -> None:
-        self.calls.extend(codec.split([self.orders.write(order) for order in reply]))
+        texts = [self.orders.write(order) for order in reply]
+        if len(self.calls) > WAITING_MOST:
+            # The relay has been away. The first call may have been carried out and stays as it is.
+            first, *rest = self.calls
+            texts = codec.fold([order for call in rest for order in call] + texts)
+            self.calls = deque([first])
+            self.book.note("calls_folded", calls=len(rest), orders=len(texts))
+        self.calls.extend(codec.split(texts))
         self.wake.set()
 
     async def run(self) -> None:
--- a/ambershift/coordinator/transport/endings.py
+++ b/ambershift/coordinator/transport/endings.py
@@ -28,32 +28,31 @@
 class Meaning(NamedTuple):
     """What the parts that own a connection make of its end, and the module is told through them.
 
-    `list_failed`: a call on discovery that ended so is told as failed. `call_again`: a call on the relay that
-    ended so may or may not have been carried out, so the same call goes out again. `fault`: it is logged as
-    one. `fresh`: a used connection may have been closed before our words reached it, so a new one is tried.
+    `list_failed`: a call on discovery that ended so is told as failed. `fresh`: a used connection may have
+    been closed before our words reached it, so a new one is tried at once. `fault`: it is logged as one.
+    For the rest all ends are alike: a call on the relay goes out again, and a probe has found no server.
     """
 
     list_failed: bool
-    call_again: bool
-    fault: bool
     fresh: bool
+    fault: bool
 
 
 MEANING = {
-    Ending.DONE: Meaning(False, False, False, False),
-    Ending.STOPPED: Meaning(False, False, False, False),
-    Ending.IDLE: Meaning(False, True, False, True),
-    Ending.CUT_SHORT: Meaning(True, True, True, True),
-    Ending.RESET: Meaning(True, True, True, True),
-    Ending.REFUSED: Meaning(True, True, True, False),
-    Ending.UNREACHABLE: Meaning(True, True, True, False),
-    Ending.NEVER_UP: Meaning(True, True, True, False),
-    Ending.SILENT: Meaning(True, True, True, False),
-    Ending.UNREADABLE: Meaning(True, True, True, False),
-    Ending.TOO_LONG: Meaning(True, True, True, False),
-    Ending.UNREAD: Meaning(True, True, True, False),
-    Ending.TURNED_AWAY: Meaning(True, True, False, False),
-    Ending.NO_ROOM: Meaning(True, True, True, False),
+    Ending.DONE: Meaning(False, False, False),
+    Ending.STOPPED: Meaning(False, False, False),
+    Ending.IDLE: Meaning(False, True, False),
+    Ending.CUT_SHORT: Meaning(True, True, True),
+    Ending.RESET: Meaning(True, True, True),
+    Ending.REFUSED: Meaning(True, False, True),
+    Ending.UNREACHABLE: Meaning(True, False, True),
+    Ending.NEVER_UP: Meaning(True, False, True),
+    Ending.SILENT: Meaning(True, False, True),
+    Ending.UNREADABLE: Meaning(True, False, True),
+    Ending.TOO_LONG: Meaning(True, False, True),
+    Ending.UNREAD: Meaning(True, False, True),
+    Ending.TURNED_AWAY: Meaning(True, False, False),
+    Ending.NO_ROOM: Meaning(True, False, True),
 }
 
 WAYS = {errno.ECONNREFUSED: Ending.REFUSED, errno.ECONNRESET: Ending.RESET, errno.EPIPE: Ending.RESET,
--- a/ambershift/coordinator/transport/link.py
+++ b/ambershift/coordinator/transport/link.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-from collections.abc import Sequence
 
 from ambershift.coordinator.transport.buffers import Pool
 from ambershift.coordinator.transport.endings import EndedError, Ending, ended
@@ -12,12 +11,13 @@
 
 UNREAD_MOST = 128 * 1024
 LINE_MOST = 1 << 20
+UNFINISHED_LIMIT = 10.0
 
 
 class Link:
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, pool: Pool) -> None:
         self.reader, self.writer, self.size = reader, writer, pool.size
-        self.framer, self.used = Framer(pool, LINE_MOST), False
+        self.framer = Framer(pool, LINE_MOST)
         writer.transport.set_write_buffer_limits(high=UNREAD_MOST)
 
     async def chunk(self, limit: float | None) -> bytes:
@@ -30,15 +30,15 @@
         except (OSError, EOFError) as error:
             raise ended(error) from None
 
-    async def lines(self, limit: float | None) -> Sequence[bytes]:
+    async def lines(self, limit: float | None) -> list[bytes]:
         """The lines that have come together: at least one, unless only a part of one has come."""
-        chunk = await self.chunk(limit)
+        # Whoever begins a line and leaves it there would hold buffers that others need.
+        chunk = await self.chunk(UNFINISHED_LIMIT if limit is None and self.framer.waiting.length else limit)
         if not chunk:
             raise EndedError(Ending.CUT_SHORT if self.framer.waiting.length else Ending.IDLE)
         return list(self.framer.feed(chunk))
 
     async def write(self, data: bytes, limit: float) -> None:
-        self.used = True
         try:
             async with asyncio.timeout(limit):
                 self.writer.write(data)
--- a/ambershift/coordinator/transport/listener.py
+++ b/ambershift/coordinator/transport/listener.py
@@ -32,13 +32,14 @@
 
     def heard(self, link: Link) -> None:
         """Move a connection that has spoken to the end of the row."""
-        self.held[link] = self.held.pop(link)
+        if link in self.held:
+            self.held[link] = self.held.pop(link)
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         link, task = Link(reader, writer, self.pool), asyncio.current_task()
         assert task is not None
         if len(self.held) >= self.most:
-            next(iter(self.held.values())).cancel()
+            self.held.pop(next(iter(self.held))).cancel()
         self.held[link] = task
         end = EndedError(Ending.DONE)
         try:
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,445 @@
+"""Starts the program as it is deployed and speaks to it over loopback, with stand-ins for the others."""
+
+import asyncio
+import contextlib
+import fcntl
+import json
+import os
+import shlex
+import signal
+import sys
+import tomllib
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from plain import free_port
+
+ROOT = Path(__file__).parent.parent
+SETTINGS: dict[str, Any] = {
+    "classes": [
+        {"name": "play", "on_time": 500.0, "deadline": 2000.0, "effect": "free", "worth": 1.0},
+        {"name": "slip", "on_time": 500.0, "deadline": 2000.0, "effect": "single_shot", "worth": 3.0}],
+    "zones": ["east", "west"], "discovery": "subscribe",
+    "family_info": {"egress_per_s": 1000.0, "most_waiting": 2000.0, "per_message": 3.0, "proxies": 8,
+                    "admit": "fraction", "late": 100.0, "push_delay_max": 200.0},
+    "limits": {"may_probe": True, "dial_timeout": 250.0}, "report": {"fields": ["util"], "via": "piggyback"},
+    "rules": {"ask_within": 2000.0, "cold": 1000.0, "cold_share": 0.3, "stop_sending_within": 3000.0}}
+
+
+def server(number: int, state: str = "up") -> dict[str, Any]:
+    return {"id": f"s-{number}", "addr": f"127.0.0.1:{9000 + number}", "zone": ["east", "west"][number % 2],
+            "kind": "m2", "cell": 0, "state": state, "weight": 1.0, "started_ms": 0}
+
+
+def listing(version: int, *servers: dict[str, Any], full: bool = True) -> dict[str, Any]:
+    return {"version": version, "full": full, "servers": list(servers)}
+
+
+async def until(what: Callable[[], Any], limit: float = 10.0) -> Any:
+    async with asyncio.timeout(limit):
+        while not (found := what()):
+            await asyncio.sleep(0.01)
+    return found
+
+
+class Relay:
+    """Carries out calls, unless the next of its `moods` wants otherwise, and brings news."""
+
+    def __init__(self) -> None:
+        self.moods, self.heard, self.carried = deque[str](), list[list[str]](), list[str]()
+        self.standing, self.followers = dict[int, str](), list[asyncio.StreamWriter]()
+        self.quiet, self.followed = False, 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while line := (await reader.readline()).decode().strip():
+                if line == "follow":
+                    self.followed += 1
+                    writer.write("".join(["OK\r\n", *self.standing.values()]).encode())
+                    self.followers.append(writer)
+                elif not await self.call(line.removeprefix("txn ").split(";"), writer):
+                    break
+        writer.close()
+
+    async def call(self, orders: list[str], writer: asyncio.StreamWriter) -> bool:
+        mood = self.moods.popleft() if self.moods else ""
+        self.heard.append(orders)
+        if mood in ("busy", "unread"):
+            writer.write(b"too_many_calls\r\n" if mood == "busy" else b"bad_request\r\n")
+            return True
+        kinds = [f"no {order.split(',')[0]}" for order in orders]
+        taken = kinds.index(mood) if mood in kinds else len(orders)
+        if mood not in ("break before", "mute"):
+            self.carried += orders[:taken]
+        answers = {"garbage": b"hm\r\n", "break after": b"", "break before": b"", "mute": b"",
+                   "in pieces": f"OK {taken}".encode()}
+        writer.write(answers.get(mood, f"OK {taken}\r\n".encode()))
+        await writer.drain()
+        if mood == "in pieces":
+            await asyncio.sleep(0.02)
+            writer.write(b"\r\n")
+        return not mood.startswith("break")
+
+    def news(self, text: str) -> None:
+        words = text.split()
+        if words[0] == "hello":
+            self.standing[int(words[1])] = f"* {text}\r\n"
+        elif words[0] == "bye":
+            self.standing.pop(int(words[1]), None)
+        for writer in self.followers:
+            writer.write(f"* {text}\r\n".encode())
+
+    async def live(self) -> None:
+        while True:
+            await asyncio.sleep(0.2)
+            for writer in [] if self.quiet else self.followers:
+                writer.write(b"*\r\n")
+
+    def drop(self) -> None:
+        for writer in self.followers:
+            writer.close()
+        self.followers.clear()
+
+
+class Discovery:
+    """The list by HTTP; in the moods `503`, `reset`, `mute` and `garbage` it fails."""
+
+    def __init__(self) -> None:
+        self.now, self.changes, self.asked = listing(1), dict[int, dict[str, Any]](), list[str]()
+        self.mood = ""
+
+    def change(self, *servers: dict[str, Any]) -> None:
+        version = self.now["version"] + 1
+        left = {one["id"]: one for one in [*self.now["servers"], *servers] if one["state"] != "removed"}
+        self.changes[version] = listing(version, *servers, full=False)
+        self.now = listing(version, *left.values())
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                self.asked.append(head.split()[1])
+                status, body = await self.answer(self.asked[-1])
+                if not status:
+                    break
+                for piece in (f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n".encode(), body):
+                    writer.write(piece)
+                    await writer.drain()
+        writer.close()
+
+    async def answer(self, target: str) -> tuple[int, bytes]:
+        asked = dict(word.split("=") for word in target.partition("?")[2].split("&") if word)
+        after, waited = int(asked.get("after", 0)), 0.0
+        while not self.mood and after >= self.now["version"] and waited < int(asked["wait_ms"]) / 1000:
+            await asyncio.sleep(0.01)
+            waited += 0.01
+        if self.mood == "mute":
+            await asyncio.sleep(60)
+        if self.mood in ("503", "reset", "garbage"):
+            return {"503": (503, b""), "reset": (0, b""), "garbage": (200, b'{"version": 1')}[self.mood]
+        found = self.changes.get(after + 1) if after + 1 == self.now["version"] else None
+        if after == self.now["version"]:
+            found = listing(after, full=False)
+        return 200, json.dumps(found or self.now).encode()
+
+
+class Stage:
+    """A program that runs, and all that is around it."""
+
+    def __init__(self, relay: Relay, discovery: Discovery, process: asyncio.subprocess.Process,
+                 address: tuple[str, int]) -> None:
+        self.relay, self.discovery, self.process, self.address = relay, discovery, process, address
+        self.log = list[dict[str, Any]]()
+
+    async def read_log(self) -> None:
+        assert self.process.stdout
+        async for line in self.process.stdout:
+            self.log.append(json.loads(line))
+
+    def logged(self, event: str) -> list[dict[str, Any]]:
+        return [line for line in self.log if line["event"] == event]
+
+    async def probe(self, *ahead: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection(*self.address)
+        for piece in (*ahead, b"pro", b"be\r\n"):
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        answer = await asyncio.wait_for(reader.readline(), 5)
+        writer.close()
+        return answer
+
+    def stands(self, table: int) -> set[str]:
+        """The servers in a table, by what the relay has carried out."""
+        found = set[str]()
+        for words in (order.split(",") for order in self.relay.carried):
+            if words[0] == "put" and int(words[1]) == table:
+                (found.add if float(words[3]) else found.discard)(words[2])
+        return found
+
+    def bound(self) -> dict[int, int]:
+        return {int(words[1]): int(words[2]) for words in (order.split(",") for order in self.relay.carried)
+                if words[0] == "attach"}
+
+
+def command() -> list[str]:
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    return [sys.executable if word.endswith("bin/python") else word for word in shlex.split(run)[1:]]
+
+
+async def start(place: Path, configuration: Any, out: int = asyncio.subprocess.PIPE
+                ) -> asyncio.subprocess.Process:
+    (place / "config.json").write_text(json.dumps(configuration))
+    return await asyncio.create_subprocess_exec(
+        *command(), cwd=ROOT, stdout=out, stderr=asyncio.subprocess.STDOUT,
+        env={**os.environ, "BALANCER_NAME": "n1", "BALANCER_CONFIG": str(place / "config.json")})
+
+
+def configure(listen: int, discovery: int, relay: int, known: dict[str, Any]) -> dict[str, Any]:
+    return {"name": "n1", "listen": f"127.0.0.1:{listen}", "discovery": f"127.0.0.1:{discovery}",
+            "seed": "8c1f30d27a5be964", "relay": {"address": f"127.0.0.1:{relay}"}, "known": known,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS}
+
+
+@contextlib.asynccontextmanager
+async def playing(place: Path, known: dict[str, Any], listed: dict[str, Any], read: bool = True
+                  ) -> AsyncIterator[Stage]:
+    relay, discovery = Relay(), Discovery()
+    discovery.now = listed
+    servers = [await asyncio.start_server(one.serve, "127.0.0.1", 0) for one in (relay, discovery)]
+    ports = [one.sockets[0].getsockname()[1] for one in servers]
+    listen, (unread, out) = free_port(), os.pipe()
+    fcntl.fcntl(out, fcntl.F_SETPIPE_SZ, 4096)
+    process = await start(place, configure(listen, ports[1], ports[0], known),
+                          asyncio.subprocess.PIPE if read else out)
+    os.close(out)
+    stage = Stage(relay, discovery, process, ("127.0.0.1", listen))
+    tasks = [asyncio.create_task(relay.live())]
+    if read:
+        tasks.append(asyncio.create_task(stage.read_log()))
+    try:
+        await until(lambda: relay.followed)
+        yield stage
+        assert not stage.logged("failure")
+        assert process.returncode in (None, 0)
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+        os.close(unread)
+        for one in (*tasks, *servers):
+            (one.cancel if isinstance(one, asyncio.Task) else one.close)()
+        relay.drop()
+
+
+Play = Callable[[Stage], Awaitable[None]]
+
+
+def play(place: Path, act: Play, known: dict[str, Any] | None = None,
+         listed: dict[str, Any] | None = None, read: bool = True) -> None:
+    usual = listing(5, *(server(number) for number in range(6)))
+
+    async def whole() -> None:
+        async with playing(place, known or usual, listed or usual, read) as stage:
+            await act(stage)
+    asyncio.run(whole())
+
+
+def test_starts_from_a_stale_list_and_follows_the_true_one(tmp_path: Path) -> None:
+    async def act(stage: Stage) -> None:
+        assert await stage.probe() == b"alive\r\n"
+        await until(lambda: stage.logged("listed"))
+        stage.relay.news("hello 3 east 21.5 1")
+        table = (await until(stage.bound))[3]
+        await until(lambda: stage.stands(table) == {"s-1", "s-2", "s-3", "s-4", "s-5", "s-6"})
+        assert "wait_ms=400" in stage.discovery.asked[0] and "after=3&" in stage.discovery.asked[0]
+    play(tmp_path, act, listing(3, *(server(number) for number in range(6))),
+         listing(9, *(server(number) for number in range(1, 7))))
+
+
+def test_a_drain_is_ordered_and_its_answer_told(tmp_path: Path) -> None:
+    async def act(stage: Stage) -> None:
+        stage.relay.news("hello 3 east 21.5 1")
+        await until(stage.bound)
+        fence = next(order for order in stage.relay.carried if order.startswith("fence"))
+        stage.relay.news(f"ack 3 {fence.split(',')[1]} 120.5")
+        stage.discovery.change(server(2, "draining"))
+        await until(lambda: "eject,s-2" in stage.relay.carried)
+        stage.discovery.change(server(2))
+        await until(lambda: "uneject,s-2" in stage.relay.carried)
+    play(tmp_path, act)
+
+
+@pytest.mark.parametrize("mood", ["break before", "break after", "mute", "garbage", "busy", "in pieces"])
+def test_a_call_with_no_known_outcome_goes_out_again_before_any_later_one(tmp_path: Path, mood: str) -> None:
+    async def act(stage: Stage) -> None:
+        stage.relay.moods.extend([mood, mood])
+        stage.relay.news("hello 3 east 21.5 1")
+        stage.relay.news("hello 4 west 11.5 1")
+        first = 1 if mood == "in pieces" else 3
+        await until(lambda: stage.bound().keys() == {3, 4} and len(stage.relay.heard) >= first)
+        assert stage.relay.heard[0] == stage.relay.heard[first - 1]
+        assert all(one != stage.relay.heard[0] for one in stage.relay.heard[first:])
+    play(tmp_path, act)
+
+
+def test_an_order_that_is_not_taken_is_left_out_and_the_rest_sent(tmp_path: Path) -> None:
+    async def act(stage: Stage) -> None:
+        stage.relay.moods.append("no attach")
+        stage.relay.news("hello 3 east 21.5 1")
+        told = (await until(lambda: stage.logged("order_not_taken")))[0]
+        await until(lambda: any(order.startswith("fence") for order in stage.relay.carried))
+        assert told["order"].startswith("attach,3,") and not stage.bound()
+        assert stage.relay.heard[1] == stage.relay.heard[0][stage.relay.heard[0].index(told["order"]) + 1:]
+    play(tmp_path, act)
+
+
+def test_of_a_call_that_is_not_understood_each_order_goes_out_alone(tmp_path: Path) -> None:
+    async def act(stage: Stage) -> None:
+        stage.relay.moods.extend(["unread", "unread"])
+        stage.relay.news("hello 3 east 21.5 1")
+        await until(stage.bound)
+        whole = stage.relay.heard[0]
+        assert [order for call in stage.relay.heard[1:len(whole) + 1] for order in call] == whole
+        assert [line["order"] for line in stage.logged("order_not_read")] == whole[:1]
+    play(tmp_path, act)
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_news_that_break_or_fall_silent_are_compared_on_return(tmp_path: Path, silent: bool) -> None:
+    async def act(stage: Stage) -> None:
+        relay = stage.relay
+        for proxy in (1, 2, 3):
+            relay.news(f"hello {proxy} east 21.5 1")
+        await until(lambda: len(stage.bound()) == 3 and relay.followed == 2)
+        del relay.standing[2]
+        relay.standing[4] = "* hello 4 west 9 0\r\n"
+        if silent:
+            relay.quiet = True
+            relay.followers.clear()
+            await until(lambda: relay.followed >= 4)
+            relay.quiet = False
+        else:
+            relay.drop()
+        await until(lambda: 4 in stage.bound() and stage.logged("left"))
+        assert [line["proxy"] for line in stage.logged("joined")] == [1, 2, 3, 4]
+        assert [line["proxy"] for line in stage.logged("left")] == [2]
+    play(tmp_path, act)
+
+
+def test_one_of_two_news_connections_breaks_and_nothing_is_missed(tmp_path: Path) -> None:
+    async def act(stage: Stage) -> None:
+        relay = stage.relay
+        relay.news("hello 1 east 21.5 1")
+        await until(lambda: relay.followed == 2)
+        await asyncio.sleep(0.5)
+        for proxy in (2, 3, 4, 5):
+            relay.followers.pop(proxy % 2).close()
+            relay.news("bye 1")
+            relay.news(f"hello {proxy} east 21.5 1")
+            relay.news("hello 1 east 21.5 0")
+            await until(lambda: len(relay.followers) == 2)
+            await asyncio.sleep(0.5)
+        assert [line["proxy"] for line in stage.logged("joined")] == [1, 2, 1, 3, 1, 4, 1, 5, 1]
+        assert [line["proxy"] for line in stage.logged("left")] == [1, 1, 1, 1]
+    play(tmp_path, act)
+
+
+@pytest.mark.parametrize("mood", ["503", "reset", "mute", "garbage"])
+def test_discovery_that_fails_is_asked_again_and_misses_nothing(tmp_path: Path, mood: str) -> None:
+    async def act(stage: Stage) -> None:
+        await until(lambda: stage.logged("listed"))
+        stage.discovery.mood = mood
+        await until(lambda: stage.logged("list_failed"))
+        stage.discovery.mood = ""
+        stage.discovery.change(server(7))
+        await until(lambda: stage.discovery.asked[-1].startswith("/v1/endpoints?after=6&"))
+        stage.relay.news("hello 3 east 21.5 1")
+        await until(lambda: any("s-7" in stage.stands(table) for table in stage.bound().values()))
+        assert len(stage.discovery.asked) < 40
+    play(tmp_path, act)
+
+
+def test_bad_input_at_its_address_ends_at_most_that_connection(tmp_path: Path) -> None:
+    async def act(stage: Stage) -> None:
+        outcomes = b"outcomes zone=east server=s-1 tries=2 failed=0 mean_ms=41.7 span_ms=1000.0"
+        strangers = [await asyncio.open_connection(*stage.address) for _ in range(20)]
+        assert await stage.probe(
+            b"\r\n\xff\xfe\r\nspeak up=1\r\nagent\r\nagent zone=east zone=east\r\nagent zone=north\r\n",
+            b"demand proxy=8 class=play tries=1 failed=0 span_ms=1000.0\r\n",
+            b"demand proxy=-1 class=play tries=1 failed=0 span_ms=1000.0\r\n",
+            b"demand proxy=1 class=play tries=1 failed=0 span_ms=nan\r\n",
+            outcomes.replace(b"s-1", b"s-99") + b"\r\n", outcomes.replace(b"tries=2", b"tries=1e9") + b"\r\n",
+            outcomes + b" load=util:inf\r\n", outcomes[:30], outcomes[30:] + b" load=util:0.5\r\n" + outcomes,
+            b"\r\n") == b"alive\r\n"
+        with contextlib.suppress(ConnectionError):
+            reader, writer = await asyncio.open_connection(*stage.address)
+            writer.write(b"x" * (2 << 20))
+            await writer.drain()
+            assert await reader.read() == b""
+        assert await stage.probe() == b"alive\r\n"
+        assert len(stage.logged("unreadable")) == 9 and len(stage.logged("refused")) == 3
+        assert [line["how"] for line in stage.logged("accepted_ended")] == ["too_long"]
+        for _, writer in strangers:
+            writer.close()
+    play(tmp_path, act)
+
+
+def test_a_log_that_nobody_reads_holds_nothing_up(tmp_path: Path) -> None:
+    async def act(stage: Stage) -> None:
+        for turn in range(100):
+            stage.relay.news(("hello 3 east 21.5 1", "bye 3")[turn % 2])
+        stage.relay.news("hello 5 west 21.5 1")
+        await until(lambda: 5 in stage.bound())
+        assert await stage.probe(*[b"nonsense\r\n" * 50]) == b"alive\r\n"
+        stage.process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(stage.process.wait(), 1) == 0
+    play(tmp_path, act, read=False)
+
+
+def test_ends_promptly_on_sigterm_with_all_connections_open(tmp_path: Path) -> None:
+    async def act(stage: Stage) -> None:
+        await until(lambda: stage.relay.followed and stage.discovery.asked)
+        _, writer = await asyncio.open_connection(*stage.address)
+        stage.process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(stage.process.wait(), 0.7) == 0
+        await until(lambda: stage.logged("stopped"))
+        writer.close()
+    play(tmp_path, act)
+
+
+@pytest.mark.parametrize("change, words", [
+    ({"relay": {}}, "'relay.address' is missing"), ({"seed": "xyz"}, "'seed'"),
+    ({"listen": "here"}, "'listen'"), ({"settings": {**SETTINGS, "zones": []}}, "'zones'"),
+    ({"known": {"version": 1}}, "'known'"),
+    ({"limits": {"sockets": True}}, "'limits.sockets'"), ({"discovery": 5}, "'discovery'"),
+    ({"settings": {**SETTINGS, "classes": [{"on_time": 1, "deadline": 1, "effect": "free"}]}},
+     "'classes[0].name'"),
+])
+def test_a_configuration_that_lacks_something_is_told_in_one_line(
+        tmp_path: Path, change: dict[str, Any], words: str) -> None:
+    async def act() -> None:
+        process = await start(tmp_path, configure(free_port(), 1, 1, listing(1)) | change)
+        out, _ = await process.communicate()
+        told = [json.loads(line) for line in out.splitlines()]
+        assert process.returncode == 2 and len(told) == 1 and words in told[0]["why"]
+    asyncio.run(act())
+
+
+def test_without_a_readable_configuration_there_is_no_start(tmp_path: Path) -> None:
+    async def act(text: str | None) -> None:
+        process = await start(tmp_path, {})
+        process.kill()
+        await process.wait()
+        place = tmp_path / "config.json"
+        place.unlink() if text is None else place.write_text(text)
+        environment = {**os.environ, "BALANCER_CONFIG": str(place)}
+        again = await asyncio.create_subprocess_exec(*command(), cwd=ROOT, stdout=asyncio.subprocess.PIPE,
+                                                     stderr=asyncio.subprocess.STDOUT, env=environment)
+        out, _ = await again.communicate()
+        assert again.returncode == 2 and len(out.splitlines()) == 1 and b"BALANCER_CONFIG" in out
+    for text in (None, "{", "[]"):
+        asyncio.run(act(text))
