--- a/ambershift/coordinator/program/assembly.py
+++ b/ambershift/coordinator/program/assembly.py
@@ -40,7 +40,7 @@
     def __init__(self, start: Start, book: Book) -> None:
         self.start, self.book = start, book
         clock, pool = Clock(), Pool(BUFFER_SIZE, BUFFERS_MOST)
-        dialler, self.admit = Dialler(pool), Admit(start.names)
+        dialler, self.admit = Dialler(pool), Admit(start.names, clock.now)
         self.route = Route(TableManager(), clock.now, book)
         put = self.route.put
         orders = Orders(self.admit.door.ids.__getitem__, start.names.groups)
--- a/ambershift/coordinator/routing/admit.py
+++ b/ambershift/coordinator/routing/admit.py
@@ -2,21 +2,39 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ambershift import interface as api
 from ambershift.coordinator.protocol import discovery, lines, relay
 from ambershift.door import Door
 from ambershift.terms import Names, to_ns
 
-TRIES_MOST = 10_000_000
+TRIES_MOST, SECOND = 10_000_000, 1_000_000_000
 
 
 class RefusedError(Exception):
     """Well formed, but of something that this coordinator does not know or can't believe."""
 
 
+class Pace:
+    """Against a flood of good lines, of which the module keeps half a minute: lets through twice what the
+    settings announce, and what came late, ten seconds of it, at once."""
+
+    def __init__(self, per_s: float, now: Callable[[], int]) -> None:
+        self.per_ns, self.most, self.now = 2 * per_s / SECOND, 20 * per_s, now
+        self.left, self.at = self.most, now()
+
+    def take(self) -> None:
+        now = self.now()
+        self.left, self.at = min(self.most, self.left + (now - self.at) * self.per_ns), now
+        if self.left < 1:
+            raise RefusedError("more reports than the settings announce")
+        self.left -= 1
+
+
 class Admit:
-    def __init__(self, names: Names) -> None:
-        self.names, self.door = names, Door[str]()
+    def __init__(self, names: Names, now: Callable[[], int]) -> None:
+        self.names, self.door, self.pace = names, Door[str](), Pace(names.reports_per_s, now)
         self.addresses = dict[int, str]()
         self.zones = {name: at for at, name in enumerate(names.zones)}
         self.groups = {name: at for at, name in enumerate(names.groups)}
@@ -37,6 +55,7 @@
         return tuple(report[name] for name in fields) if all(name in report for name in fields) else ()
 
     def report(self, message: lines.Outcomes | lines.Demand) -> api.Met | api.Usage:
+        self.pace.take()
         if message.tries > TRIES_MOST:
             raise RefusedError("more tries than there can be")
         span = to_ns(message.span_ms)
--- a/ambershift/coordinator/routing/watch.py
+++ b/ambershift/coordinator/routing/watch.py
@@ -13,8 +13,9 @@
 from ambershift.coordinator.routing.call import Caller
 from ambershift.coordinator.transport.endings import MEANING, EndedError, Ending
 
-# Discovery answers a call within 6 s, and one that may wait 2 s after the wait ends, or counts it as told.
-ANSWER_LIMIT, AFTER_WAIT = 6.0, 2.0
+# A call is told as done 6 s after it at the latest, one that may wait 2 s after the wait, whether its answer
+# arrived or not. Answers come within milliseconds, so half of that leaves time to ask again.
+ANSWER_LIMIT, AFTER_WAIT = 3.0, 1.0
 SECOND = 1_000_000_000
 
 
--- a/ambershift/coordinator/transport/link.py
+++ b/ambershift/coordinator/transport/link.py
@@ -18,6 +18,7 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, pool: Pool) -> None:
         self.reader, self.writer, self.size = reader, writer, pool.size
         self.framer = Framer(pool, LINE_MOST)
+        self.end: EndedError | None = None
         writer.transport.set_write_buffer_limits(high=UNREAD_MOST)
 
     async def chunk(self, limit: float | None) -> bytes:
@@ -32,11 +33,21 @@
 
     async def lines(self, limit: float | None) -> list[bytes]:
         """The lines that have come together: at least one, unless only a part of one has come."""
+        if self.end:
+            raise self.end
         # Whoever begins a line and leaves it there would hold buffers that others need.
         chunk = await self.chunk(UNFINISHED_LIMIT if limit is None and self.framer.waiting.length else limit)
         if not chunk:
             raise EndedError(Ending.CUT_SHORT if self.framer.waiting.length else Ending.IDLE)
-        return list(self.framer.feed(chunk))
+        found = list[bytes]()
+        try:
+            for line in self.framer.feed(chunk):
+                found.append(line)
+        except EndedError as end:  # What came whole before it still counts.
+            self.end = end
+        if self.end and not found:
+            raise self.end
+        return found
 
     async def write(self, data: bytes, limit: float) -> None:
         try:
--- a/ambershift/terms.py
+++ b/ambershift/terms.py
@@ -22,6 +22,7 @@
     groups: tuple[str, ...]
     load_fields: tuple[str, ...]
     proxies: int
+    reports_per_s: float
     may_probe: bool
     probe_limit: int
 
@@ -107,5 +108,6 @@
         zones=tuple(str(zone) for zone in found["zones"]), groups=tuple(groups),
         load_fields=tuple(str(one) for one in section(found, "report").get("fields", ())),
         proxies=int(number(info, "proxies", None, "family_info.")),
+        reports_per_s=number(info, "intake_per_s", 1000.0),
         may_probe=bool(limits.get("may_probe", False)),
         probe_limit=to_ns(number(limits, "dial_timeout", 1000)))
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -1,6 +1,7 @@
 """Transport, codecs and stages of the coordinator, each by itself."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Sequence
 from typing import Any
@@ -25,7 +26,7 @@
 from ambershift.coordinator.transport.listener import Listener
 from ambershift.terms import Names
 
-NAMES = Names(("east", "west"), ("play", "slip"), ("util",), 8, True, 100_000_000)
+NAMES = Names(("east", "west"), ("play", "slip"), ("util",), 8, 100.0, True, 100_000_000)
 
 
 def silent_book() -> Book:
@@ -33,7 +34,7 @@
 
 
 def admitting(*ids: str) -> Admit:
-    admit = Admit(NAMES)
+    admit = Admit(NAMES, lambda: 0)
     admit.listed(discovery.Listing(1, True, tuple(
         discovery.Server(one, f"127.0.0.1:{at + 1}", "east", api.Phase.READY, 1.0, 0.0)
         for at, one in enumerate(ids))), True)
@@ -230,7 +231,7 @@
     found = discovery.read(b'{"version":41,"full":true,"servers":[' + ENTRY + b"]}")
     assert found == discovery.Listing(41, True, (discovery.Server(
         "s-5be2a07c", "10.1.0.18:5000", "a", api.Phase.READY, 1.0, 1796139701000.0),))
-    assert Admit(NAMES).listed(found, False) == api.Listed(True, False, (api.Entry(
+    assert Admit(NAMES, lambda: 0).listed(found, False) == api.Listed(True, False, (api.Entry(
         0, -1, api.Phase.READY, 1.0, 1796139701 * SECOND),))
 
 
@@ -266,7 +267,8 @@
 def test_load_reports() -> None:
     report = probes.read_load(b'{"inflight":7,"queue":2,"util":0.61,"name":"x"}')
     assert report == {"inflight": 7.0, "queue": 2.0, "util": 0.61} and probes.read_load(b"") == {}
-    assert Admit(NAMES).loads(report) == (0.61,) and Admit(NAMES).loads({"queue": 1.0}) == ()
+    admit = Admit(NAMES, lambda: 0)
+    assert admit.loads(report) == (0.61,) and admit.loads({"queue": 1.0}) == ()
     with pytest.raises(UnreadableError):
         probes.read_load(b"[]")
 
@@ -283,6 +285,17 @@
         admitting("s-1").report(message)
 
 
+def test_a_flood_of_good_reports_is_let_in_at_twice_the_pace_that_the_settings_announce() -> None:
+    now, let_in = 0, 0
+    admit = Admit(NAMES, lambda: now)
+    for turn in range(100_000):
+        now = turn * SECOND // 10_000  # Ten seconds at 10,000 a second, where 100 are announced.
+        with contextlib.suppress(RefusedError):
+            admit.report(lines.Demand(1, "play", 1, 0, 1000.0))
+            let_in += 1
+    assert 3990 <= let_in <= 4001
+
+
 def test_of_a_flood_of_one_kind_a_bounded_number_is_logged_and_the_rest_counted() -> None:
     logged, now = list[dict[str, Any]](), [0]
     book = Book(logged.append, lambda: now[0])
@@ -319,7 +332,8 @@
 
 
 def test_what_waits_for_a_relay_that_is_away_stays_bounded() -> None:
-    calls = Relay(Dialler(Pool(64, 8)), "127.0.0.1:1", relay.Orders("s-{}".format, ("play",)), silent_book())
+    orders = relay.Orders("s-{}".format, ("play",))
+    calls = Relay(Dialler(Pool(64, 8)), "127.0.0.1:1", orders, silent_book())
     for turn in range(2000):
         calls.push([api.Share(turn % 3, turn % 50, 1.0 + turn), api.Mark(turn, False)])
     waiting = [order for call in calls.calls for order in call]
@@ -332,7 +346,7 @@
 
     def __init__(self) -> None:
         self.events = list[api.Event]()
-        self.news = News(Admit(NAMES), self.events.append, silent_book())
+        self.news = News(Admit(NAMES, lambda: 0), self.events.append, silent_book())
         self.begin = self.news.begin
 
     def take(self, place: int, *texts: str) -> None:
