--- a/ambershift/coordinator/program/log.py
+++ b/ambershift/coordinator/program/log.py
@@ -20,26 +20,31 @@
     def __init__(self, file: int, name: str) -> None:
         self.file, self.name = file, name
         self.lines = deque[bytes](maxlen=LINES_MOST)
-        self.lost, self.fresh, self.idle = 0, threading.Event(), threading.Event()
+        self.lost, self.fresh, self.busy = 0, threading.Event(), False
         self.thread = threading.Thread(target=self.run, daemon=True, name="log")
         self.thread.start()
 
     def write(self, fields: dict[str, Any]) -> None:
         self.lost += len(self.lines) == LINES_MOST
         line = {"time": round(time.time(), 4), "node": self.name, **fields}
-        self.lines.append(orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE, default=str))
+        try:
+            text = orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE, default=str)
+        except orjson.JSONEncodeError:  # Against bytes from outside that are no text: they must end nothing.
+            text = orjson.dumps({"event": "unwritable", "line": ascii(line)}) + b"\n"
+        self.lines.append(text)
         self.fresh.set()
 
     def run(self) -> None:
         while True:
             self.fresh.wait()
+            self.busy = True
             self.fresh.clear()
             while self.lines:
                 if self.lost:
                     lost, self.lost = self.lost, 0
                     self.put(orjson.dumps({"event": "lines_lost", "lines": lost}) + b"\n")
                 self.put(self.lines.popleft())
-            self.idle.set()
+            self.busy = False
 
     def put(self, data: bytes) -> None:
         try:
@@ -50,6 +55,6 @@
 
     def end(self) -> None:
         """Let the thread write what waits, for a moment at most."""
-        self.idle.clear()
-        self.fresh.set()
-        self.idle.wait(END_WAIT)
+        until = time.monotonic() + END_WAIT
+        while (self.lines or self.busy) and time.monotonic() < until:
+            time.sleep(0.002)
--- a/ambershift/coordinator/routing/follow.py
+++ b/ambershift/coordinator/routing/follow.py
@@ -12,10 +12,10 @@
 from ambershift.coordinator.transport.endings import EndedError, Ending
 from ambershift.coordinator.transport.link import Link
 
-DIAL_LIMIT, WRITE_LIMIT = 0.5, 0.5
+DIAL_LIMIT, WRITE_LIMIT = 0.3, 0.5
 # The relay gives a sign of life each second; one may come late, a second one missing is a broken stream.
 SILENCE = 2.2
-PAUSE_LEAST, PAUSE_MOST = 0.05, 0.5
+PAUSE_LEAST, PAUSE_MOST = 0.05, 0.2
 
 
 class Follower:
--- a/ambershift/coordinator/routing/relay.py
+++ b/ambershift/coordinator/routing/relay.py
@@ -13,9 +13,8 @@
 from ambershift.coordinator.transport.endings import EndedError, Ending
 from ambershift.coordinator.transport.link import Link
 
-DIAL_LIMIT, WRITE_LIMIT, ANSWER_LIMIT = 0.5, 0.5, 0.25
-PAUSE_LEAST, PAUSE_MOST, BUSY_PAUSE = 0.02, 0.5, 0.1
-WAITING_MOST = 32
+DIAL_LIMIT, WRITE_LIMIT, ANSWER_LIMIT = 0.3, 0.5, 0.25
+PAUSE_LEAST, PAUSE_MOST, BUSY_PAUSE = 0.02, 0.2, 0.1
 
 
 class Relay:
@@ -27,12 +26,13 @@
 
     def push(self, reply: Sequence[codec.RelayOrder]) -> None:
         texts = [self.orders.write(order) for order in reply]
-        if len(self.calls) > WAITING_MOST:
-            # The relay has been away. The first call may have been carried out and stays as it is.
+        if len(self.calls) > 1:
+            # The relay is away. The first call may have been carried out and stays as it is; the rest becomes
+            # one reply, or on its return a row of stale ones would fill the channel with messages.
             first, *rest = self.calls
             texts = codec.fold([order for call in rest for order in call] + texts)
             self.calls = deque([first])
-            self.book.note("calls_folded", calls=len(rest), orders=len(texts))
+            self.book.count("calls_folded", len(rest))
         self.calls.extend(codec.split(texts))
         self.wake.set()
 
--- a/ambershift/coordinator/routing/watch.py
+++ b/ambershift/coordinator/routing/watch.py
@@ -64,8 +64,7 @@
                 raise UnreadableError(f"changes to version {listing.version}, but {self.version} is held")
         except (EndedError, UnreadableError) as error:
             end = error if isinstance(error, EndedError) else EndedError(Ending.UNREADABLE, str(error))
-            self.book.ended("discovery", end)
-            self.book.note("list_failed", how=end.ending.name.lower())
+            self.book.note("list_failed", how=end.ending.name.lower(), detail=end.detail)
             if MEANING[end.ending].list_failed:
                 self.put(api.ListFailed())
             return False
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import json
+import os
 import random
 from collections.abc import Sequence
 from typing import Any
@@ -10,6 +12,7 @@
 from plain import free_port
 
 from ambershift import interface as api
+from ambershift.coordinator.program.log import LogWriter
 from ambershift.coordinator.protocol import discovery, http, lines, probes, relay
 from ambershift.coordinator.protocol.words import UnreadableError
 from ambershift.coordinator.routing.admit import Admit, RefusedError
@@ -17,7 +20,7 @@
 from ambershift.coordinator.routing.call import Caller
 from ambershift.coordinator.routing.news import News
 from ambershift.coordinator.routing.probe import PROBES_MOST, Prober
-from ambershift.coordinator.routing.relay import WAITING_MOST, Relay
+from ambershift.coordinator.routing.relay import Relay
 from ambershift.coordinator.routing.route import Route
 from ambershift.coordinator.transport.buffers import Pool
 from ambershift.coordinator.transport.dialler import Dialler
@@ -105,6 +108,24 @@
     asyncio.run(act())
 
 
+def test_whole_lines_still_count_where_the_rest_finds_no_buffer() -> None:
+    async def act() -> None:
+        found, ends = list[bytes](), asyncio.Queue[EndedError]()
+
+        async def serve(link: Any) -> None:
+            while True:
+                found.extend(await link.lines(None))
+        listener, port = Listener(Pool(64, 0), 2, serve, ends.put_nowait), free_port()
+        await listener.open(f"127.0.0.1:{port}")
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"one\r\ntwo\r\nthr")
+        end = await asyncio.wait_for(ends.get(), 2)
+        assert found == [b"one", b"two"] and end.ending is Ending.NO_ROOM
+        writer.close()
+        listener.close()
+    asyncio.run(act())
+
+
 # Codecs
 
 @pytest.mark.parametrize("text, message", [
@@ -308,6 +329,19 @@
     assert logged[-2] == {"event": "left_out", "lines": {"refused": 60}}
 
 
+def test_the_log_writes_what_is_no_text_and_loses_no_last_line() -> None:
+    for _ in range(50):
+        out, into = os.pipe()
+        log = LogWriter(into, "n1")
+        log.write({"event": "odd", "text": "\udcff"})
+        log.write({"event": "last"})
+        log.end()
+        os.close(into)
+        told = [json.loads(line)["event"] for line in os.read(out, 4096).splitlines()]
+        os.close(out)
+        assert told == ["unwritable", "last"]
+
+
 def test_events_that_came_together_go_into_one_step_and_a_failing_step_ends_nothing() -> None:
     steps, replies, logged = list[list[api.Event]](), list[list[api.Order]](), list[dict[str, Any]]()
 
@@ -338,7 +372,7 @@
         calls.push([api.Share(turn % 3, turn % 50, 1.0 + turn), api.Mark(turn, False)])
     waiting = [order for call in calls.calls for order in call]
     assert waiting[:2] == ["put,0,s-0,1", "fence,0,0"] and waiting[-1] == "fence,1999,0"
-    assert len(calls.calls) <= WAITING_MOST + 1 and len(waiting) <= 2 + 150 + 2 * WAITING_MOST
+    assert len(calls.calls) == 2 and len(waiting) == 2 + 150 + 1
 
 
 class Told:
