--- a/ambershift/coordinator/program/assembly.py
+++ b/ambershift/coordinator/program/assembly.py
@@ -64,6 +64,8 @@
         self.route.put(self.admit.listed(self.start.known, True))
         # Whoever gets `alive` finds a module that is born: the first step runs before the listener opens.
         await asyncio.sleep(0)
+        if not self.book.counts["steps"]:
+            raise BadStartError("key 'settings': the module can't start with them")
         try:
             await self.listener.open(self.start.listen)
         except OSError as error:
--- a/ambershift/coordinator/routing/follow.py
+++ b/ambershift/coordinator/routing/follow.py
@@ -24,13 +24,13 @@
         self.turn = asyncio.Lock()  # One at a time is told what stands, or each would take it for news.
 
     async def run(self, place: int) -> None:
-        pause = 0.0
+        pause = PAUSE_LEAST
         while True:
             try:
                 await self.connect(place)
             except EndedError as end:
                 self.book.ended("news", end, place=place)
-            pause = 0.0 if self.news.end(place) else min(PAUSE_MOST, max(PAUSE_LEAST, 2 * pause))
+            pause = PAUSE_LEAST if self.news.end(place) else min(PAUSE_MOST, 2 * pause)
             await asyncio.sleep(pause)
 
     async def connect(self, place: int) -> None:
--- a/ambershift/coordinator/routing/watch.py
+++ b/ambershift/coordinator/routing/watch.py
@@ -16,6 +16,8 @@
 # A call is told as done 6 s after it at the latest, one that may wait 2 s after the wait, whether its answer
 # arrived or not. Answers come within milliseconds, so half of that leaves time to ask again.
 ANSWER_LIMIT, AFTER_WAIT = 3.0, 1.0
+# Between calls of one watch may lie 200 ms. Against a storm where every call is answered at once.
+LEAST_GAP = 0.05
 SECOND = 1_000_000_000
 
 
@@ -46,10 +48,13 @@
                 await self.ask(discovery.WHOLE, ANSWER_LIMIT, True)
             elif self.watching:
                 target = discovery.watch(self.version, round(self.wait * 1000))
+                started = asyncio.get_running_loop().time()
                 if await self.ask(target, self.wait + AFTER_WAIT, self.first):
                     self.first = False
                 else:
                     self.watching = False
+                if asyncio.get_running_loop().time() < started + LEAST_GAP:
+                    await asyncio.sleep(LEAST_GAP)
             else:
                 await self.wake.wait()
 
--- a/ambershift/terms.py
+++ b/ambershift/terms.py
@@ -44,6 +44,13 @@
     return value
 
 
+def positive(found: Mapping[str, Any], key: str, default: float | None = None, where: str = "") -> float:
+    value = number(found, key, default, where)
+    if value <= 0:
+        raise TermsError(f"settings: key '{where}{key}' is not above 0")
+    return value
+
+
 def section(found: Mapping[str, Any], key: str) -> Mapping[str, Any]:
     value = found.get(key, {})
     if not isinstance(value, dict):
@@ -75,8 +82,8 @@
             raise TermsError(f"settings: key 'classes[{at}]' is not an object")
         effect = needed(one, "effect", where)
         groups.append(api.Group(
-            budget=to_ns(number(one, "on_time", None, where)),
-            expiry=to_ns(number(one, "deadline", None, where)),
+            budget=to_ns(positive(one, "on_time", None, where)),
+            expiry=to_ns(positive(one, "deadline", None, where)),
             utility=number(one, "worth", 1.0, where),
             repeat=REPEATS.get(str(effect), api.Repeat.NON_RETRIABLE),
             dedup_everywhere=one.get("group", "all") == "all",
@@ -87,10 +94,10 @@
         grace=to_ns(number(rules, "stop_sending_within", None, "rules.")),
         only_draining_binds=bool(rules.get("soft_removal", False)),
         cold=to_ns(number(rules, "cold", 0)), cold_share=number(rules, "cold_share", 1.0),
-        fall_multiple=number(rules, "tip_multiple", 4.0),
+        fall_multiple=positive(rules, "tip_multiple", 4.0, "rules."),
         bare_limit=to_ns(number(info, "blackhole", 3000)),
-        lines_per_s=number(info, "egress_per_s", None, "family_info."), head=number(info, "per_message", 0),
-        waiting_limit=number(info, "most_waiting", None, "family_info."),
+        lines_per_s=positive(info, "egress_per_s", None, "family_info."), head=number(info, "per_message", 0),
+        waiting_limit=positive(info, "most_waiting", None, "family_info."),
         message_limit=int(number(info, "messages_most", 0)),
         message_span=to_ns(number(info, "reload_span", 10_000)),
         way=to_ns(number(info, "late", 0)), way_most=to_ns(number(info, "push_delay_max", 0)),
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -105,7 +105,7 @@
 
 
 class Discovery:
-    """The list by HTTP; in the moods `503`, `reset`, `mute` and `garbage` it fails."""
+    """The list by HTTP. It fails in the moods `503`, `reset`, `mute`, `garbage`; `eager`, it never waits."""
 
     def __init__(self) -> None:
         self.now, self.changes, self.asked = listing(1), dict[int, dict[str, Any]](), list[str]()
@@ -136,6 +136,8 @@
         while not self.mood and after >= self.now["version"] and waited < int(asked["wait_ms"]) / 1000:
             await asyncio.sleep(0.01)
             waited += 0.01
+        if self.mood == "eager":
+            return 200, json.dumps(listing(after, full=False)).encode()
         if self.mood == "mute":
             await asyncio.sleep(60)
         if self.mood in ("503", "reset", "garbage"):
@@ -363,6 +365,18 @@
     play(tmp_path, act)
 
 
+def test_discovery_that_answers_at_once_is_not_stormed(tmp_path: Path) -> None:
+    async def act(stage: Stage) -> None:
+        await until(lambda: stage.logged("listed"))
+        stage.discovery.mood, before = "eager", len(stage.discovery.asked)
+        await asyncio.sleep(1.0)
+        assert 3 < len(stage.discovery.asked) - before < 25
+        stage.discovery.mood = ""
+        stage.discovery.change(server(7))
+        await until(lambda: stage.logged("listed")[-1]["changes"] == {"s-7": "READY"})
+    play(tmp_path, act)
+
+
 def test_bad_input_at_its_address_ends_at_most_that_connection(tmp_path: Path) -> None:
     async def act(stage: Stage) -> None:
         outcomes = b"outcomes zone=east server=s-1 tries=2 failed=0 mean_ms=41.7 span_ms=1000.0"
@@ -415,6 +429,8 @@
     ({"relay": {}}, "'relay.address' is missing"), ({"seed": "xyz"}, "'seed'"),
     ({"listen": "here"}, "'listen'"), ({"settings": {**SETTINGS, "zones": []}}, "'zones'"),
     ({"known": {"version": 1}}, "'known'"),
+    ({"settings": {**SETTINGS, "classes": [SETTINGS["classes"][0] | {"on_time": 0}]}},
+     "'classes[0].on_time'"),
     ({"limits": {"sockets": True}}, "'limits.sockets'"), ({"discovery": 5}, "'discovery'"),
     ({"settings": {**SETTINGS, "classes": [{"on_time": 1, "deadline": 1, "effect": "free"}]}},
      "'classes[0].name'"),
