--- a/ambershift/coordinator/program/assembly.py
+++ b/ambershift/coordinator/program/assembly.py
@@ -27,6 +27,7 @@
 from ambershift.coordinator.routing.watch import Watcher
 from ambershift.coordinator.transport.buffers import Pool
 from ambershift.coordinator.transport.dialler import Dialler
+from ambershift.coordinator.transport.link import Link
 from ambershift.coordinator.transport.listener import Listener
 from ambershift.policy import TableManager
 
@@ -54,7 +55,7 @@
         most = max(8, min(ACCEPTED_MOST, start.sockets - OWN_DESCRIPTORS))
         self.listener = Listener(pool, most, self.serve, partial(book.ended, "accepted"))
 
-    async def serve(self, link: Any) -> None:
+    async def serve(self, link: Link) -> None:
         await self.intake.serve(link, self.listener.heard)
 
     async def run(self) -> None:
--- a/ambershift/coordinator/routing/admit.py
+++ b/ambershift/coordinator/routing/admit.py
@@ -55,7 +55,11 @@
         return tuple(report[name] for name in fields) if all(name in report for name in fields) else ()
 
     def report(self, message: lines.Outcomes | lines.Demand) -> api.Met | api.Usage:
-        self.pace.take()
+        event = self.known(message)
+        self.pace.take()  # Last, so that what is refused anyway takes nobody's turn.
+        return event
+
+    def known(self, message: lines.Outcomes | lines.Demand) -> api.Met | api.Usage:
         if message.tries > TRIES_MOST:
             raise RefusedError("more tries than there can be")
         span = to_ns(message.span_ms)
@@ -71,7 +75,8 @@
                        to_ns(message.mean_ms), span, self.loads(message.load))
 
     def joined(self, hello: relay.Hello) -> api.Joined:
-        return api.Joined(self.proxy(hello.proxy), self.zone(hello.zone), hello.weight, hello.fresh)
+        # One of a zone that the settings lack is served all the same, like one without a zone.
+        return api.Joined(self.proxy(hello.proxy), self.zones.get(hello.zone, -1), hello.weight, hello.fresh)
 
     def applied(self, ack: relay.Ack) -> api.Applied:
         return api.Applied(ack.mark, to_ns(ack.took_ms), self.proxy(ack.proxy))
--- a/ambershift/coordinator/routing/intake.py
+++ b/ambershift/coordinator/routing/intake.py
@@ -26,9 +26,9 @@
             arrived = await link.lines(None)
             heard(link)
             for line in arrived:
-                unreadable += not self.take(link, line)
+                unreadable = 0 if self.take(link, line) else unreadable + 1
             if unreadable > UNREADABLE_MOST:
-                raise EndedError(Ending.UNREADABLE, f"over {UNREADABLE_MOST} lines that can't be read")
+                raise EndedError(Ending.UNREADABLE, f"over {UNREADABLE_MOST} lines on end")
 
     def take(self, link: Link, line: bytes) -> bool:
         try:
--- a/ambershift/coordinator/routing/news.py
+++ b/ambershift/coordinator/routing/news.py
@@ -20,6 +20,7 @@
         self.stood = dict[int, codec.Hello]()
         self.level = False  # Whether all that stands has been told.
         self.ahead = deque[codec.News](maxlen=AHEAD_MOST)
+        self.old = 0  # So much of what the other had ahead stood there at this one's last sign of life.
 
 
 class News:
@@ -34,6 +35,7 @@
     def begin(self, place: int) -> None:
         for stream in self.streams:
             stream.ahead.clear()
+            stream.old = 0
         self.streams[place].stood, self.streams[place].level = {}, False
 
     def end(self, place: int) -> bool:
@@ -51,14 +53,21 @@
                 return
             self.levelled(stream, other)
         if isinstance(news, codec.Sign):
-            return
-        if news in other.ahead:
+            # What it has not brought since its last sign of life it never will, and later news in the same words
+            # must not be taken for it.
+            self.drop(stream, other, stream.old)
+            stream.old = len(other.ahead)
+        elif news in other.ahead:
             # What the other brought before this and this one never will was told before this one began.
-            while other.ahead.popleft() != news:
-                pass
-            return
-        stream.ahead.append(news)
-        self.tell(news)
+            self.drop(stream, other, other.ahead.index(news) + 1)
+        else:
+            stream.ahead.append(news)
+            self.tell(news)
+
+    def drop(self, stream: Stream, other: Stream, count: int) -> None:
+        for _ in range(min(count, len(other.ahead))):
+            other.ahead.popleft()
+        stream.old = max(0, stream.old - count)
 
     def levelled(self, stream: Stream, other: Stream) -> None:
         """What stands has been told whole: who was here before and is not named has left meanwhile."""
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -412,6 +412,22 @@
     assert told.so_far() == ["Left 2", "Joined 2", "Left 2"]
 
 
+def test_old_news_of_a_broken_connection_hide_no_new_ones_in_the_same_words() -> None:
+    told = Told()
+    told.begin(0)
+    told.take(0, "")
+    told.begin(1)
+    told.take(0, "hello 1 east 5 0")  # Ahead of what the second is told to stand.
+    told.take(1, "hello 1 east 5 0", "")
+    told.news.end(0)
+    told.take(1, "", "bye 1", "hello 1 east 5 0")
+    assert told.so_far() == ["Joined 1", "Left 1", "Joined 1"]
+
+
+def test_a_proxy_of_an_unknown_zone_joins_all_the_same() -> None:
+    assert Admit(NAMES, lambda: 0).joined(relay.Hello(1, "north", 5.0, True)) == api.Joined(1, -1, 5.0, True)
+
+
 def test_on_return_only_who_has_lost_its_tables_has_joined_anew() -> None:
     told = Told()
     for fresh in ("1", "0"):
