--- a/ambershift/coordinator/routing/news.py
+++ b/ambershift/coordinator/routing/news.py
@@ -53,8 +53,8 @@
                 return
             self.levelled(stream, other)
         if isinstance(news, codec.Sign):
-            # What it has not brought since its last sign of life it never will, and later news in the same words
-            # must not be taken for it.
+            # What it has not brought since its last sign of life it never will; later news in the same words
+            # must not be taken for that.
             self.drop(stream, other, stream.old)
             stream.old = len(other.ahead)
         elif news in other.ahead:
