--- a/ambershift/coordinator/routing/follow.py
+++ b/ambershift/coordinator/routing/follow.py
@@ -30,7 +30,8 @@
                 await self.connect(place)
             except EndedError as end:
                 self.book.ended("news", end, place=place)
-            pause = PAUSE_LEAST if self.news.end(place) else min(PAUSE_MOST, 2 * pause)
+            finally:
+                pause = PAUSE_LEAST if self.news.end(place) else min(PAUSE_MOST, 2 * pause)
             await asyncio.sleep(pause)
 
     async def connect(self, place: int) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -74,8 +74,8 @@
         taken = kinds.index(mood) if mood in kinds else len(orders)
         if mood not in ("break before", "mute"):
             self.carried += orders[:taken]
-        answers = {"garbage": b"hm\r\n", "break after": b"", "break before": b"", "mute": b"",
-                   "in pieces": f"OK {taken}".encode()}
+        answers = {"break after": b"", "break before": b"", "mute": b"", "garbage": b"hm\r\n",
+                   "endless": b"OK " + b"1" * (2 << 20), "in pieces": f"OK {taken}".encode()}
         writer.write(answers.get(mood, f"OK {taken}\r\n".encode()))
         await writer.drain()
         if mood == "in pieces":
@@ -105,7 +105,7 @@
 
 
 class Discovery:
-    """The list by HTTP. It fails in the moods `503`, `reset`, `mute`, `garbage`; `eager`, it never waits."""
+    """The list by HTTP. Of its moods `mute` never answers, `eager` never waits, the others answer badly."""
 
     def __init__(self) -> None:
         self.now, self.changes, self.asked = listing(1), dict[int, dict[str, Any]](), list[str]()
@@ -140,8 +140,11 @@
             return 200, json.dumps(listing(after, full=False)).encode()
         if self.mood == "mute":
             await asyncio.sleep(60)
-        if self.mood in ("503", "reset", "garbage"):
-            return {"503": (503, b""), "reset": (0, b""), "garbage": (200, b'{"version": 1')}[self.mood]
+        bad = {"503": (503, b""), "reset": (0, b""), "garbage": (200, b'{"version": 1'),
+               "old": (200, json.dumps(listing(after - 1, full=False)).encode()),
+               "large": (200, b" " * (9 << 20))}
+        if self.mood in bad:
+            return bad[self.mood]
         found = self.changes.get(after + 1) if after + 1 == self.now["version"] else None
         if after == self.now["version"]:
             found = listing(after, full=False)
@@ -275,7 +278,8 @@
     play(tmp_path, act)
 
 
-@pytest.mark.parametrize("mood", ["break before", "break after", "mute", "garbage", "busy", "in pieces"])
+@pytest.mark.parametrize("mood", [
+    "break before", "break after", "mute", "garbage", "endless", "busy", "in pieces"])
 def test_a_call_with_no_known_outcome_goes_out_again_before_any_later_one(tmp_path: Path, mood: str) -> None:
     async def act(stage: Stage) -> None:
         stage.relay.moods.extend([mood, mood])
@@ -350,7 +354,7 @@
     play(tmp_path, act)
 
 
-@pytest.mark.parametrize("mood", ["503", "reset", "mute", "garbage"])
+@pytest.mark.parametrize("mood", ["503", "reset", "mute", "garbage", "old", "large"])
 def test_discovery_that_fails_is_asked_again_and_misses_nothing(tmp_path: Path, mood: str) -> None:
     async def act(stage: Stage) -> None:
         await until(lambda: stage.logged("listed"))
