--- a/ambershift/coordinator/protocol/relay.py
+++ b/ambershift/coordinator/protocol/relay.py
@@ -52,7 +52,7 @@
 
 
 Answer = Done | Busy | Misread
-News = Hello | Bye | Ack | Sign | Following
+News = Hello | Bye | Ack | Sign
 
 
 def decimal(value: float) -> str:
@@ -103,34 +103,34 @@
     return calls
 
 
-KEYS = {"put": 3, "wipe": 2, "attach": 2, "eject": 2, "uneject": 2, "gate": 3, "fence": 1}
+# Of the words after an order's kind, those that name what it sets; letting back in undoes shutting out.
+KEYS = {"put": (0, 1), "wipe": (0,), "attach": (0, 2), "eject": (0,), "gate": (0, 1), "fence": ()}
 
 
 def fold(orders: Sequence[str]) -> list[str]:
     """Leave out each order that a later one makes void, so that what has waited for long stays bounded."""
     left = dict[tuple[str, ...], str]()
     for order in orders:
-        words = order.split(",")
-        key = tuple(words[:KEYS[words[0]]])
-        if words[0] == "attach":
-            key += (words[3],)
-        elif words[0] == "uneject":
-            key = ("eject", words[1])
+        kind, *words = order.removeprefix("un").split(",")
+        key = kind, *(words[at] for at in KEYS[kind])
         left.pop(key, None)  # A later order takes its own place: it may rest on what came in between.
         left[key] = order
     return list(left.values())
 
 
+def read_refusal(words: Sequence[str], line: bytes) -> Busy | Misread:
+    if "too_many_calls" in words or "unavailable" in words:
+        return Busy()
+    if "bad_request" in words:
+        return Misread()
+    raise UnreadableError(f"'{show(line)}' is no answer of the relay")
+
+
 def read_answer(line: bytes, orders: int) -> Answer:
     words = line.decode("ascii", "replace").split()
-    match words:
-        case ["OK", count]:
-            return Done(whole(count, "OK", orders))
-        case [*_] if "too_many_calls" in words or "unavailable" in words:
-            return Busy()
-        case [*_] if "bad_request" in words:
-            return Misread()
-    raise UnreadableError(f"'{show(line)}' is no answer to a call")
+    if len(words) == 2 and words[0] == "OK":
+        return Done(whole(words[1], "OK", orders))
+    return read_refusal(words, line)
 
 
 READERS: dict[str, tuple[int, Callable[..., Any]]] = {
@@ -142,16 +142,12 @@
 }
 
 
-def read_news(line: bytes) -> News | Busy | Misread:
+def read_news(line: bytes) -> News | Following | Busy | Misread:
     words = line.decode("ascii", "replace").split()
     if words == ["OK"]:
         return Following()
     if not words or words[0] != "*":
-        if "too_many_calls" in words or "unavailable" in words:
-            return Busy()
-        if "bad_request" in words:
-            return Misread()
-        raise UnreadableError(f"'{show(line)}' is no news")
+        return read_refusal(words, line)
     if len(words) == 1:
         return Sign()
     count, build = READERS.get(words[1], (-1, None))
--- a/ambershift/coordinator/routing/call.py
+++ b/ambershift/coordinator/routing/call.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from ambershift.coordinator.protocol import http
-from ambershift.coordinator.protocol.words import UnreadableError
+from ambershift.coordinator.routing.reading import reading
 from ambershift.coordinator.transport.dialler import Dialler
 from ambershift.coordinator.transport.endings import MEANING, EndedError, Ending
 from ambershift.coordinator.transport.link import Link
@@ -42,7 +42,7 @@
             self.close()
             self.link = await self.dialler.dial(self.address, self.dial_limit)
             self.exchange = http.Exchange(self.address)
-        try:
+        with reading():
             await self.link.write(self.exchange.ask(target), self.dial_limit)
             answer = None
             while not answer:
@@ -50,8 +50,6 @@
                 if not chunk and not self.exchange.begun:
                     raise EndedError(Ending.CUT_SHORT)
                 answer = self.exchange.hear(chunk)
-        except UnreadableError as error:
-            raise EndedError(Ending.UNREADABLE, str(error)) from None
         if not self.exchange.reusable():
             self.close()
         return answer
--- a/ambershift/coordinator/routing/follow.py
+++ b/ambershift/coordinator/routing/follow.py
@@ -5,9 +5,9 @@
 import asyncio
 
 from ambershift.coordinator.protocol import relay as codec
-from ambershift.coordinator.protocol.words import UnreadableError
 from ambershift.coordinator.routing.book import Book
 from ambershift.coordinator.routing.news import News
+from ambershift.coordinator.routing.reading import reading
 from ambershift.coordinator.transport.dialler import Dialler
 from ambershift.coordinator.transport.endings import EndedError, Ending
 from ambershift.coordinator.transport.link import Link
@@ -54,22 +54,18 @@
 
     async def answered(self, link: Link) -> list[bytes]:
         """Wait for `OK` and give the lines that came along with it."""
-        while not (lines := list(await link.lines(SILENCE))):
+        while not (lines := await link.lines(SILENCE)):
             pass
-        try:
+        with reading():
             first = codec.read_news(lines[0])
-        except UnreadableError as error:
-            raise EndedError(Ending.UNREADABLE, str(error)) from None
         if not isinstance(first, codec.Following):
             raise EndedError(Ending.TURNED_AWAY, repr(first))
         return lines[1:]
 
     def pass_on(self, lines: list[bytes], place: int) -> None:
         for line in lines:
-            try:
+            with reading():
                 news = codec.read_news(line)
-            except UnreadableError as error:
-                raise EndedError(Ending.UNREADABLE, str(error)) from None
             if isinstance(news, codec.Busy | codec.Misread | codec.Following):
                 raise EndedError(Ending.UNREADABLE, repr(news))
             self.news.take(place, news)
--- /dev/null
+++ b/ambershift/coordinator/routing/reading.py
@@ -0,0 +1,17 @@
+"""Reading: what a codec can't make out is an end of the connection that brought it, told in one way."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from ambershift.coordinator.protocol.words import UnreadableError
+from ambershift.coordinator.transport.endings import EndedError, Ending
+
+
+@contextmanager
+def reading() -> Iterator[None]:
+    try:
+        yield
+    except UnreadableError as error:
+        raise EndedError(Ending.UNREADABLE, str(error)) from None
--- a/ambershift/coordinator/routing/relay.py
+++ b/ambershift/coordinator/routing/relay.py
@@ -7,8 +7,8 @@
 from collections.abc import Sequence
 
 from ambershift.coordinator.protocol import relay as codec
-from ambershift.coordinator.protocol.words import UnreadableError
 from ambershift.coordinator.routing.book import Book
+from ambershift.coordinator.routing.reading import reading
 from ambershift.coordinator.transport.dialler import Dialler
 from ambershift.coordinator.transport.endings import EndedError, Ending
 from ambershift.coordinator.transport.link import Link
@@ -50,9 +50,10 @@
             link = await self.connect()
             started = clock()
             await link.write(codec.pack(orders), WRITE_LIMIT)
-            answer = codec.read_answer(await self.answer(link), len(orders))
-        except (EndedError, UnreadableError) as error:
-            end = error if isinstance(error, EndedError) else EndedError(Ending.UNREADABLE, str(error))
+            line = await self.answer(link)
+            with reading():
+                answer = codec.read_answer(line, len(orders))
+        except EndedError as end:
             await self.broke(end)
             return
         self.pause = 0.0
--- a/ambershift/coordinator/routing/watch.py
+++ b/ambershift/coordinator/routing/watch.py
@@ -7,10 +7,10 @@
 
 from ambershift import interface as api
 from ambershift.coordinator.protocol import discovery
-from ambershift.coordinator.protocol.words import UnreadableError
 from ambershift.coordinator.routing.admit import Admit
 from ambershift.coordinator.routing.book import Book
 from ambershift.coordinator.routing.call import Caller
+from ambershift.coordinator.routing.reading import reading
 from ambershift.coordinator.transport.endings import MEANING, EndedError, Ending
 
 # A call is told as done 6 s after it at the latest, one that may wait 2 s after the wait, whether its answer
@@ -62,13 +62,14 @@
         try:
             answer = await self.caller.call(target, limit)
             if answer.status != 200:
-                raise EndedError(Ending.TURNED_AWAY if answer.status == 503 else Ending.UNREADABLE,
-                            f"status {answer.status}")
-            listing = discovery.read(answer.body)
+                how = Ending.TURNED_AWAY if answer.status == 503 else Ending.UNREADABLE
+                raise EndedError(how, f"status {answer.status}")
+            with reading():
+                listing = discovery.read(answer.body)
             if not listing.full and listing.version < self.version:
-                raise UnreadableError(f"changes to version {listing.version}, but {self.version} is held")
-        except (EndedError, UnreadableError) as error:
-            end = error if isinstance(error, EndedError) else EndedError(Ending.UNREADABLE, str(error))
+                detail = f"changes to version {listing.version}, but {self.version} is held"
+                raise EndedError(Ending.UNREADABLE, detail)
+        except EndedError as end:
             self.book.note("list_failed", how=end.ending.name.lower(), detail=end.detail)
             if MEANING[end.ending].list_failed:
                 self.put(api.ListFailed())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -198,6 +198,10 @@
 async def start(place: Path, configuration: Any, out: int = asyncio.subprocess.PIPE
                 ) -> asyncio.subprocess.Process:
     (place / "config.json").write_text(json.dumps(configuration))
+    return await launch(place, out)
+
+
+async def launch(place: Path, out: int = asyncio.subprocess.PIPE) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         *command(), cwd=ROOT, stdout=out, stderr=asyncio.subprocess.STDOUT,
         env={**os.environ, "BALANCER_NAME": "n1", "BALANCER_CONFIG": str(place / "config.json")})
@@ -451,15 +455,10 @@
 
 def test_without_a_readable_configuration_there_is_no_start(tmp_path: Path) -> None:
     async def act(text: str | None) -> None:
-        process = await start(tmp_path, {})
-        process.kill()
-        await process.wait()
-        place = tmp_path / "config.json"
-        place.unlink() if text is None else place.write_text(text)
-        environment = {**os.environ, "BALANCER_CONFIG": str(place)}
-        again = await asyncio.create_subprocess_exec(*command(), cwd=ROOT, stdout=asyncio.subprocess.PIPE,
-                                                     stderr=asyncio.subprocess.STDOUT, env=environment)
-        out, _ = await again.communicate()
-        assert again.returncode == 2 and len(out.splitlines()) == 1 and b"BALANCER_CONFIG" in out
+        if text is not None:
+            (tmp_path / "config.json").write_text(text)
+        process = await launch(tmp_path)
+        out, _ = await process.communicate()
+        assert process.returncode == 2 and len(out.splitlines()) == 1 and b"BALANCER_CONFIG" in out
     for text in (None, "{", "[]"):
         asyncio.run(act(text))
