Read the configuration anew on SIGHUP and move news, calls and the list watch, news first

Checked: `program/signals.py` handled SIGTERM and SIGINT alone; Caller, Relay and Follower took a fixed address at their making. Change: SIGHUP is caught from the first statement on; the file is read and its two addresses checked, all else that differs is one log line. One news connection moves, the other follows once the first has been told all that stands; the call under way ends where it began or goes out again at the new place; the watch is asked at the new place at once with the version held. A file that can't be used is one line, the old stays. The test fails with follow.py as it was.

--- a/ambershift/coordinator/program/assembly.py
+++ b/ambershift/coordinator/program/assembly.py
@@ -10,9 +10,9 @@
 
 from ambershift import interface as api
 from ambershift.coordinator.program.clock import Clock
-from ambershift.coordinator.program.configuration import BadStartError, Start, read
+from ambershift.coordinator.program.configuration import BadStartError, Start, read, reread
 from ambershift.coordinator.program.log import LogWriter
-from ambershift.coordinator.program.signals import stop_event
+from ambershift.coordinator.program.signals import Signals
 from ambershift.coordinator.protocol.relay import Orders
 from ambershift.coordinator.routing.admit import Admit
 from ambershift.coordinator.routing.book import Book
@@ -38,8 +38,8 @@
 
 
 class Coordinator:
-    def __init__(self, start: Start, book: Book) -> None:
-        self.start, self.book = start, book
+    def __init__(self, start: Start, book: Book, signals: Signals) -> None:
+        self.start, self.book, self.signals = start, book, signals
         clock, pool = Clock(), Pool(BUFFER_SIZE, BUFFERS_MOST)
         dialler, self.admit = Dialler(pool), Admit(start.names, clock.now)
         self.route = Route(TableManager(), clock.now, book)
@@ -47,8 +47,9 @@
         orders = Orders(self.admit.door.ids.__getitem__, start.names.groups)
         self.relay = Relay(dialler, start.relay, orders, book)
         self.follower = Follower(dialler, start.relay, News(self.admit, put, book), book)
-        caller = Caller(dialler, start.discovery, DIAL_LIMIT)
-        self.watcher = Watcher(caller, start.known.version, start.terms.told_after, self.admit, put, book)
+        self.caller = Caller(dialler, start.discovery, DIAL_LIMIT)
+        self.watcher = Watcher(
+            self.caller, start.known.version, start.terms.told_after, self.admit, put, book)
         prober = Prober(dialler, self.admit, clock.now, put, book)
         self.route.carry = Send(self.route, self.relay, self.watcher, prober, book).carry
         self.intake = Intake(self.admit, put, book)
@@ -59,7 +60,8 @@
         await self.intake.serve(link, self.listener.heard)
 
     async def run(self) -> None:
-        stop, loop = stop_event(), asyncio.get_running_loop()
+        loop = asyncio.get_running_loop()
+        self.signals.attend()
         loop.set_exception_handler(self.lost)
         self.route.put(api.Born(self.start.seed, self.start.terms))
         self.route.put(self.admit.listed(self.start.known, True))
@@ -72,11 +74,11 @@
         except OSError as error:
             raise BadStartError(f"key 'listen': can't listen there ({error.strerror})") from None
         parts: dict[str, Callable[[], Awaitable[None]]] = {
-            "relay": self.relay.run, "watch": self.watcher.run, "totals": self.totals,
+            "relay": self.relay.run, "watch": self.watcher.run, "totals": self.totals, "reload": self.reload,
             "news": partial(self.follower.run, 0), "news again": partial(self.follower.run, 1)}
         tasks = [loop.create_task(self.keep(name, run)) for name, run in parts.items()]
         self.book.note("ready", servers=len(self.start.known.servers))
-        await stop.wait()
+        await self.signals.stop.wait()
         self.listener.close()
         for task in tasks:
             task.cancel()
@@ -91,6 +93,20 @@
                 self.book.failure(name, error)
             await asyncio.sleep(RESTART_PAUSE)
 
+    async def reload(self) -> None:
+        while True:
+            await self.signals.reload.wait()
+            self.signals.reload.clear()
+            try:
+                moved = reread(os.environ, self.start)
+            except BadStartError as error:  # Half of a file, say: what is held goes on serving.
+                self.book.note("reload_failed", why=str(error))
+                continue
+            self.book.note("reloaded", discovery=moved.discovery, relay=moved.relay, unheeded=moved.unheeded)
+            self.follower.move(moved.relay)  # First, as what joined or left must never be missed.
+            self.relay.move(moved.relay)
+            self.caller.move(moved.discovery)
+
     async def totals(self) -> None:
         while True:
             await asyncio.sleep(TOTALS_EVERY)
@@ -103,10 +119,10 @@
 
 
 def main() -> int:
-    log = LogWriter(1, os.environ.get("BALANCER_NAME", ""))
+    signals, log = Signals(), LogWriter(1, os.environ.get("BALANCER_NAME", ""))
     try:
         start = read(os.environ)
-        asyncio.run(Coordinator(start, Book(log.write)).run())
+        asyncio.run(Coordinator(start, Book(log.write), signals).run())
     except BadStartError as error:
         log.write({"event": "bad_start", "why": str(error)})
         return 2
--- a/ambershift/coordinator/program/configuration.py
+++ b/ambershift/coordinator/program/configuration.py
@@ -31,9 +31,33 @@
     known: discovery.Listing
     terms: api.Terms
     names: Names
+    fixed: dict[str, Any]
+
+
+class Moved(NamedTuple):
+    """What a configuration read anew can change, and the keys in which it differs for nothing."""
+
+    discovery: str
+    relay: str
+    unheeded: list[str]
+
+
+MOVING = {"discovery", "relay"}
 
 
 def read(environment: Mapping[str, str]) -> Start:
+    return build(load(environment))
+
+
+def reread(environment: Mapping[str, str], start: Start) -> Moved:
+    """Only the addresses can move in a program that runs; that nothing else can must not hold them up."""
+    found = load(environment)
+    unheeded = sorted(key for key in (found.keys() | start.fixed.keys()) - MOVING
+                      if found.get(key) != start.fixed.get(key))
+    return Moved(*addresses(found), unheeded)
+
+
+def load(environment: Mapping[str, str]) -> dict[str, Any]:
     place = environment.get(PLACE)
     if not place:
         raise BadStartError(f"{PLACE} is not set")
@@ -45,7 +69,7 @@
         raise BadStartError(f"{PLACE}: not JSON ({error})") from None
     if not isinstance(found, dict):
         raise BadStartError(f"{PLACE}: not an object")
-    return build(found)
+    return found
 
 
 def build(found: dict[str, Any]) -> Start:
@@ -64,11 +88,13 @@
     except ValueError:
         raise BadStartError("key 'seed' is no hexadecimal number") from None
     sockets = needed(needed(found, "limits", dict), "sockets", int, "limits.")
-    return Start(
-        name=needed(found, "name", str), listen=address(found, "listen"),
-        discovery=address(found, "discovery"),
-        relay=address(needed(found, "relay", dict), "address", "relay."), seed=number % (1 << 64),
-        sockets=sockets, known=known, terms=terms, names=names)
+    name, listen = needed(found, "name", str), address(found, "listen")
+    return Start(name, listen, *addresses(found), number % (1 << 64), sockets, known, terms, names,
+                 fixed={key: value for key, value in found.items() if key not in MOVING})
+
+
+def addresses(found: Mapping[str, Any]) -> tuple[str, str]:
+    return address(found, "discovery"), address(needed(found, "relay", dict), "address", "relay.")
 
 
 def needed(found: Mapping[str, Any], key: str, kind: type, where: str = "") -> Any:
--- a/ambershift/coordinator/program/signals.py
+++ b/ambershift/coordinator/program/signals.py
@@ -1,4 +1,4 @@
-"""Signals that ask the program to end."""
+"""Signals: SIGTERM and SIGINT ask the program to end, SIGHUP to read its configuration anew."""
 
 from __future__ import annotations
 
@@ -6,9 +6,19 @@
 import signal
 
 
-def stop_event() -> asyncio.Event:
-    """An event that SIGTERM or SIGINT sets; from then on neither interrupts anything."""
-    stop, loop = asyncio.Event(), asyncio.get_running_loop()
-    for one in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(one, stop.set)
-    return stop
+class Signals:
+    """Made first of all: from then on SIGHUP, whose default would end the program, ends nothing any more,
+    and one that came before anybody could heed it is not lost."""
+
+    def __init__(self) -> None:
+        self.early = False
+        signal.signal(signal.SIGHUP, lambda *_: setattr(self, "early", True))
+
+    def attend(self) -> None:
+        """From here on signals set events and interrupt nothing."""
+        self.stop, self.reload, loop = asyncio.Event(), asyncio.Event(), asyncio.get_running_loop()
+        for one in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(one, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload.set)
+        if self.early:
+            self.reload.set()
--- a/ambershift/coordinator/routing/call.py
+++ b/ambershift/coordinator/routing/call.py
@@ -20,16 +20,19 @@
     async def call(self, target: str, limit: float) -> http.Answer:
         """One answer within the limit; without one the connection is at its end, and this tells how."""
         try:
-            async with asyncio.timeout(limit):
-                used = self.link is not None
-                try:
-                    return await self.once(target)
-                except EndedError as end:
-                    # What lay idle may have been closed before our words came there.
-                    if not used or not MEANING[end.ending].fresh:
-                        raise
+            async with asyncio.timeout(limit) as bound:
+                while True:
+                    used, address = self.link is not None, self.address
+                    try:
+                        return await self.once(target)
+                    except EndedError as end:
+                        moved = address != self.address
+                        # What lay idle may have been closed before our words came there.
+                        if not moved and not (used and MEANING[end.ending].fresh):
+                            raise
                     self.close()
-                    return await self.once(target)
+                    if moved:  # Another place, another call: it may wait as long as any.
+                        bound.reschedule(asyncio.get_running_loop().time() + limit)
         except TimeoutError:
             self.close()
             raise EndedError(Ending.SILENT) from None
@@ -41,6 +44,8 @@
         if self.link is None or self.link.gone():
             self.close()
             self.link = await self.dialler.dial(self.address, self.dial_limit)
+            if self.link.address != self.address:
+                raise EndedError(Ending.MOVED)
             self.exchange = http.Exchange(self.address)
         with reading():
             await self.link.write(self.exchange.ask(target), self.dial_limit)
@@ -54,6 +59,13 @@
             self.close()
         return answer
 
+    def move(self, address: str) -> None:
+        """Go to another address; a call under way is made there at once, as if for the first time."""
+        if address != self.address:
+            self.address = address
+            if self.link:
+                self.link.leave(Ending.MOVED)
+
     def close(self) -> None:
         if self.link:
             self.link.close()
--- a/ambershift/coordinator/routing/follow.py
+++ b/ambershift/coordinator/routing/follow.py
@@ -22,6 +22,7 @@
     def __init__(self, dialler: Dialler, address: str, news: News, book: Book) -> None:
         self.dialler, self.address, self.news, self.book = dialler, address, news, book
         self.turn = asyncio.Lock()  # One at a time is told what stands, or each would take it for news.
+        self.links: list[Link | None] = [None, None]
 
     async def run(self, place: int) -> None:
         pause = PAUSE_LEAST
@@ -34,11 +35,28 @@
                 pause = PAUSE_LEAST if self.news.end(place) else min(PAUSE_MOST, 2 * pause)
             await asyncio.sleep(pause)
 
+    def move(self, address: str) -> None:
+        """Follow at another address: one connection goes there at once, the other once that one has been told
+        all that stands, so that news are missed on neither side of the move."""
+        if address != self.address:
+            self.address = address
+            first, second = (stream.level for stream in self.news.streams)
+            for place in (1,) if first else (0,) if second else (0, 1):
+                self.leave_old(place)
+
+    def leave_old(self, place: int) -> None:
+        link = self.links[place]
+        if link and link.address != self.address:
+            link.leave(Ending.MOVED)
+
     async def connect(self, place: int) -> None:
-        link = await self.dialler.dial(self.address, DIAL_LIMIT)
+        self.links[place] = link = await self.dialler.dial(self.address, DIAL_LIMIT)
         try:
+            if link.address != self.address:
+                raise EndedError(Ending.MOVED)
             await self.follow(link, place)
         finally:
+            self.links[place] = None
             link.close()
 
     async def follow(self, link: Link, place: int) -> None:
@@ -49,6 +67,7 @@
             self.pass_on(rest, place)
             while not self.news.streams[place].level:
                 self.pass_on(await link.lines(SILENCE), place)
+        self.leave_old(1 - place)
         while True:
             self.pass_on(await link.lines(SILENCE), place)
 
--- a/ambershift/coordinator/routing/relay.py
+++ b/ambershift/coordinator/routing/relay.py
@@ -80,7 +80,8 @@
             self.calls.extendleft([order] for order in reversed(orders))
 
     async def connect(self) -> Link:
-        if self.link and self.link.gone():  # The relay closes what is idle.
+        # The relay closes what is idle; after a move the call under way still ends where it began.
+        if self.link and (self.link.gone() or self.link.address != self.address):
             self.close()
         if not self.link:
             self.link = await self.dialler.dial(self.address, DIAL_LIMIT)
@@ -104,6 +105,9 @@
         await asyncio.sleep(self.pause)
         self.pause = min(PAUSE_MOST, max(PAUSE_LEAST, 2 * self.pause))
 
+    def move(self, address: str) -> None:
+        self.address, self.pause = address, 0.0
+
     def close(self) -> None:
         if self.link:
             self.link.close()
--- a/ambershift/coordinator/transport/dialler.py
+++ b/ambershift/coordinator/transport/dialler.py
@@ -32,4 +32,4 @@
             raise EndedError(Ending.NEVER_UP) from None
         except OSError as error:
             raise ended(error) from None
-        return Link(reader, writer, self.pool)
+        return Link(reader, writer, self.pool, address)
--- a/ambershift/coordinator/transport/endings.py
+++ b/ambershift/coordinator/transport/endings.py
@@ -11,6 +11,7 @@
 class Ending(Enum):
     DONE = "we had what we wanted"
     STOPPED = "the program stops"
+    MOVED = "the other side has another address now"
     IDLE = "the other side closed it while nothing was under way"
     CUT_SHORT = "the other side closed it in the middle"
     RESET = "reset"
@@ -41,6 +42,7 @@
 MEANING = {
     Ending.DONE: Meaning(False, False, False),
     Ending.STOPPED: Meaning(False, False, False),
+    Ending.MOVED: Meaning(False, True, False),
     Ending.IDLE: Meaning(False, True, False),
     Ending.CUT_SHORT: Meaning(True, True, True),
     Ending.RESET: Meaning(True, True, True),
--- a/ambershift/coordinator/transport/link.py
+++ b/ambershift/coordinator/transport/link.py
@@ -15,8 +15,9 @@
 
 
 class Link:
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, pool: Pool) -> None:
-        self.reader, self.writer, self.size = reader, writer, pool.size
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, pool: Pool,
+                 address: str = "") -> None:
+        self.reader, self.writer, self.size, self.address = reader, writer, pool.size, address
         self.framer = Framer(pool, LINE_MOST)
         self.end: EndedError | None = None
         writer.transport.set_write_buffer_limits(high=UNREAD_MOST)
@@ -25,11 +26,14 @@
         """The next bytes, or b"" where the other side has ended in good order."""
         try:
             async with asyncio.timeout(limit):
-                return await self.reader.read(self.size)
+                chunk = await self.reader.read(self.size)
         except TimeoutError:
             raise EndedError(Ending.SILENT) from None
         except (OSError, EOFError) as error:
             raise ended(error) from None
+        if not chunk and self.end:
+            raise self.end
+        return chunk
 
     async def lines(self, limit: float | None) -> list[bytes]:
         """The lines that have come together: at least one, unless only a part of one has come."""
@@ -69,6 +73,11 @@
         """Whether the other side has ended it already, as far as is known here."""
         return self.reader.at_eof() or self.writer.is_closing() or self.reader.exception() is not None
 
+    def leave(self, how: Ending) -> None:
+        """End it from outside: whoever reads from it is told how."""
+        self.end = EndedError(how)
+        self.close()
+
     def close(self) -> None:
         self.framer.close()
         with contextlib.suppress(OSError, RuntimeError):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,6 +17,8 @@
 import pytest
 from plain import free_port
 
+from ambershift.coordinator.program.signals import Signals
+
 ROOT = Path(__file__).parent.parent
 SETTINGS: dict[str, Any] = {
     "classes": [
@@ -51,11 +53,12 @@
     def __init__(self) -> None:
         self.moods, self.heard, self.carried = deque[str](), list[list[str]](), list[str]()
         self.standing, self.followers = dict[int, str](), list[asyncio.StreamWriter]()
-        self.quiet, self.followed = False, 0
+        self.quiet, self.followed, self.places = False, 0, list[int]()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while line := (await reader.readline()).decode().strip():
+                self.places.append(writer.get_extra_info("sockname")[1])
                 if line == "follow":
                     self.followed += 1
                     writer.write("".join(["OK\r\n", *self.standing.values()]).encode())
@@ -109,7 +112,7 @@
 
     def __init__(self) -> None:
         self.now, self.changes, self.asked = listing(1), dict[int, dict[str, Any]](), list[str]()
-        self.mood = ""
+        self.mood, self.places = "", list[int]()
 
     def change(self, *servers: dict[str, Any]) -> None:
         version = self.now["version"] + 1
@@ -122,6 +125,7 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 self.asked.append(head.split()[1])
+                self.places.append(writer.get_extra_info("sockname")[1])
                 status, body = await self.answer(self.asked[-1])
                 if not status:
                     break
@@ -433,6 +437,63 @@
     play(tmp_path, act)
 
 
+@pytest.mark.parametrize("times", [1, 3])
+def test_a_new_configuration_moves_both_and_nothing_is_lost(tmp_path: Path, times: int) -> None:
+    async def act(stage: Stage) -> None:
+        relay, discovery = stage.relay, stage.discovery
+        relay.news("hello 3 east 21.5 1")
+        await until(lambda: stage.bound() and len(relay.followers) == 2 and discovery.asked)
+        old, (news, lists) = list(relay.followers), (relay.places[0], discovery.places[0])
+        servers = [await asyncio.start_server(one.serve, "127.0.0.1", 0) for one in (relay, discovery)]
+        ports = [one.sockets[0].getsockname()[1] for one in servers]
+        for text in (None, "{", "[]", '{"discovery": "127.0.0.1:1", "relay": {}}'):
+            before, place = len(stage.logged("reload_failed")), tmp_path / "config.json"
+            place.write_text(text) if text else place.unlink()
+            stage.process.send_signal(signal.SIGHUP)
+            await until(lambda before=before: len(stage.logged("reload_failed")) > before)
+        relay.moods.append("mute")  # The call under way has no outcome: it goes out again at the new place.
+        discovery.change(server(2, "draining"))
+        await until(lambda: not relay.moods)
+        changed = configure(1, ports[1], ports[0], listing(1)) | {"settings": {}}
+        for _ in range(times):
+            place.write_text(json.dumps(changed))
+            stage.process.send_signal(signal.SIGHUP)
+        relay.news("hello 4 west 11.5 1")
+        await until(lambda: sum(port == ports[0] for port in relay.places) > 2)
+        await until(lambda: all(one.is_closing() for one in old))
+        relay.followers = [one for one in relay.followers if one not in old]
+        await until(lambda: len(relay.followers) == 2)
+        relay.news("bye 3")
+        relay.news("hello 5 east 21.5 1")
+        await until(lambda: {4, 5} <= stage.bound().keys() and "eject,s-2" in relay.carried)
+        discovery.change(server(2))
+        await until(lambda: "uneject,s-2" in relay.carried)
+        assert discovery.places[-1] == ports[1] != lists and relay.places[-1] == ports[0] != news
+        repeated = next(at for at, call in enumerate(relay.heard) if "eject,s-2" in call)
+        assert relay.heard[repeated] == relay.heard[repeated + 1]
+        assert not stage.logged("list_failed") and not stage.logged("news_ended")
+        assert [line["proxy"] for line in stage.logged("joined")] == [3, 4, 5]
+        assert [line["proxy"] for line in stage.logged("left")] == [3]
+        assert stage.logged("reloaded")[0]["unheeded"] == ["known", "listen", "settings"]
+        assert await stage.probe() == b"alive\r\n"
+        for one in servers:
+            one.close()
+    play(tmp_path, act)
+
+
+def test_a_signal_to_read_anew_ends_nothing_and_is_heeded_however_early() -> None:
+    async def attend(signals: Signals, early: bool) -> None:
+        signals.attend()
+        assert signals.reload.is_set() == early
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.wait_for(signals.reload.wait(), 1)
+    for early in (False, True):
+        signals = Signals()
+        if early:
+            os.kill(os.getpid(), signal.SIGHUP)
+        asyncio.run(attend(signals, early))
+
+
 @pytest.mark.parametrize("change, words", [
     ({"relay": {}}, "'relay.address' is missing"), ({"seed": "xyz"}, "'seed'"),
     ({"listen": "here"}, "'listen'"), ({"settings": {**SETTINGS, "zones": []}}, "'zones'"),
