Call servers too full only where good answers are late; leave lost ones out of the usual time

Keeping further tries stopped or levels lowered alone was no better. The test fails with the module as it was.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -29,7 +29,7 @@
 # Cold servers: their steps, and when they get a line while failures may fall on them.
 COLD_STEP, COLD_BEAT, COLD_WARY, FIRM_LOAD, CALM_SPELL = 0.05, 2 * SECOND, 0.4, 2.2, 10 * SECOND
 # Overload: from when further tries stop, from when flows are blocked, as parts of the latency budget.
-BUSY_TIME, CALM_TIME, SHARED_BAD = 0.55, 0.38, 0.12
+BUSY_TIME, CALM_TIME, FULL_TIME, SHARED_BAD = 0.55, 0.38, 0.27, 0.12
 LEVEL_LEAST, LEVEL_RISE, LOAD_AIM, DELIVERED_SAMPLES = 0.05, 0.5, 0.9, 60
 
 
@@ -83,11 +83,10 @@
         yields = sum(1 << at for at, one in enumerate(density) if one < max(density))
         self.masks = [(yields, True)] * (yields > 0) + [((1 << len(density)) - 1 - yields, False)]
         self.servers, self.proxies = dict[int, Server](), dict[int, Proxy]()
-        self.laid = dict[int, dict[int, float]]()
+        self.laid, self.eased = dict[int, dict[int, float]](), dict[int, tuple[float, int]]()
         self.laid_levels = dict[int, dict[int, tuple[api.Again, float]]]()
         self.shut_gap = max(0, terms.grace - terms.way_most) // 2 if terms.message_limit else 0
         self.ill, self.cut = dict[int, Spell](), dict[tuple[int, int], Spell]()
-        self.eased = dict[int, tuple[float, int]]()
         self.share, self.fallback, self.shut, self.shut_at = dict[int, float](), False, set[int](), 0
         self.heard, self.judged_at, self.calm_at = False, self.now, self.now
         self.level, self.level_at, self.again = 1.0, 0, api.Again.IF_NOT_RUN
@@ -250,8 +249,9 @@
         # Nothing met is no calm either: with all servers beyond a cut the first to return takes every flow.
         if usual > SHARED_BAD or not tries:
             self.calm_at = self.now
-        took = median([one[2] for one in fresh.values() if one[0]] or [0.0])
-        busy = took > BUSY_TIME * self.budget or usual > SHARED_BAD
+        took = median([one[2] for one in fresh.values() if one[0] > one[1]] or [0.0])
+        # Failures alone tell of servers lost or cut off: servers too full answer the rest late as well.
+        busy = took > BUSY_TIME * self.budget or usual > SHARED_BAD and took > FULL_TIME * self.budget
         # A try after a time-out runs the flow twice; one after a refusal feeds an overload.
         self.again = api.Again.NEVER if busy else api.Again.IF_NOT_RUN
         self.set_level(busy or took > CALM_TIME * self.budget, took, tries, good)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -139,11 +139,20 @@
 
 def test_all_failing_alike_puts_nobody_out_and_orders_no_further_tries() -> None:
     plain = small()
-    plain.run(S, *well(12))
+    plain.run(S, *well(12, 200))
     assert len(lines(plain, 0)) == 4
     assert {order.again for order in plain.levels[plain.proxies[0][READS]].values()} == {api.Again.NEVER}
 
 
+@pytest.mark.parametrize("bad", [5, 20])
+def test_servers_lost_while_the_others_answer_in_time_block_no_flow_and_stop_no_further_try(bad: int) -> None:
+    plain = small()
+    for _ in range(4):
+        plain.run(S, *[met(i, 20, bad * (i % 4 < 2 or bad == 5), i % 2, 130) for i in range(8)])
+    levels = plain.levels[plain.proxies[0][READS]].values()
+    assert {(one.again, one.allowance) for one in levels} == {(api.Again.IF_NOT_RUN, 1.0)}
+
+
 def test_no_flow_runs_again_after_a_failure_that_may_have_run_it() -> None:
     plain = small(groups=(group(repeat=api.Repeat.DEDUPED, dedup_window=S), group(utility=3.0)))
     plain.run(S, *[met(i, 20, 20 * (i == 0), i % 2) for i in range(8)])
