Leave out servers that fail most tries also where their few answers are late; out for 3 s

At fault: `shares` in `judge` leaves out every server whose good answers take over 0.6 of the budget, as late answers are load; a server that hangs answers few, and those late. Ruled out: the median of bad shares (0.00 throughout), the cap of a third (none was out), late reports. The test fails with the condition as it was.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -22,7 +22,7 @@
 ORDINARY, PRESSING, GUARDING, BINDING = 0.6, 0.75, 0.8, 1.0
 # Health: what counts as evidence, as failing and as a cut, and how what is out is tried again.
 SAMPLES, EVIDENCE, EVIDENCE_TRIES, TRIAL_PART, TRIAL_TRIES = 40, 5 * SECOND // 2, 5, 0.1, 3
-BAD_SHARE, LOST_SHARE, CUT_SHARE, CUT_SERVERS, OUT_MOST, SPELL = 0.5, 0.75, 0.6, 2, 0.34, 4 * SECOND
+BAD_SHARE, LOST_SHARE, CUT_SHARE, CUT_SERVERS, OUT_MOST, SPELL = 0.5, 0.75, 0.6, 2, 0.34, 3 * SECOND
 # Servers weaker than listed: times are parts of the latency budget, or multiples of the peers' time.
 LATE, LATE_PEERS, EASE_STEP, EASED_LEAST, EASED_MOST = 0.6, 2.0, 0.75, 0.6, 0.5
 EASE_SPELL, EASE_EVIDENCE, EASE_TRIES = 60 * SECOND, 5 * SECOND, 10
@@ -226,9 +226,10 @@
         seen = {index: self.recent(server, self.now - evidence) for index, server in self.ready()}
         # Few tries count here too: while most is blocked, only servers that fail might be met often.
         usual = median([bad / tries for tries, bad, _ in seen.values() if tries] or [0.0])
-        # Late answers tell of load, not of illness; a server put out for them only moves the load on.
+        # Late answers tell of load, which putting out moves on; not where few come while no flow is blocked.
         shares = {index: bad / tries for index, (tries, bad, took) in seen.items()
-                  if tries >= EVIDENCE_TRIES and took < LATE * self.budget}
+                  if tries >= EVIDENCE_TRIES and (
+                      took < LATE * self.budget or bad > LOST_SHARE * tries and self.level == 1.0)}
         self.ease()
         # Where most of what the list dropped fails, it is right about the rest too.
         typical = median([share for one, share in shares.items() if self.servers[one].doubted] or [0.0])
@@ -413,8 +414,7 @@
     def hear_applied(self, event: api.Applied) -> None:
         """Messages leave one after the other, so all that was written before an answered one has left."""
         before, spent = self.marks.get(event.mark, (0.0, {}))
-        lines = spent.pop(event.proxy, 0.0)
-        if lines:
+        if lines := spent.pop(event.proxy, 0.0):
             self.marks[event.mark] = before + lines, spent
             self.gone = max(self.gone, before + lines)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -144,6 +144,14 @@
     assert {order.again for order in plain.levels[plain.proxies[0][READS]].values()} == {api.Again.NEVER}
 
 
+@pytest.mark.parametrize("bad, out", [(12, False), (17, True)])
+def test_a_server_whose_answers_are_late_is_left_out_where_few_come(bad: int, out: bool) -> None:
+    plain = small()
+    for _ in range(3):
+        plain.run(S, *[met(i, 20, bad * (i == 0), i % 2, 400 if i == 0 else 100) for i in range(8)])
+    assert (0 not in lines(plain, 0)) == out
+
+
 def test_lost_servers_are_left_out_also_where_half_are_lost() -> None:
     plain = small(12)
     for _ in range(3):
