Bound the ordinary queue in time and send edits of tables together

Seen (join+vast, module's figures in the log of n0): 'wait 3768/12800' from 1 s to the end, 3.2 s of the channel's 1,200 lines a second, of which 500 to 900 a second were heads of messages (140 proxies, one or two lines a beat each costing 40 proxies a message); after 72 of 120 servers drained, tables stood at 21/34/26/43 lines from 13 to 23 s while 72 new servers waited for room. Ruled out: CPU (0.15 s in a second), calls (under 1 ms), list (in time). Lines at fault: afford's bound of 0.3 of the queue's limit, which at size is 3.2 s; lay, which spends room line by line as it comes free. Change: the bound is also 1.5 s of the channel; ordinary edits wait until half of it is free and then go together, tables by turns; servers that no table has yet, and levels, go before edits.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -17,7 +17,7 @@
 # The ordinary path: the design's starting values, and the servers' worth with which a zone table is safe.
 TRAFFIC_WINDOW, SHARE_MOVE, WORTH_LEAST, OVERLOAD_LIMIT, OVERLOAD_CALM = 30 * SECOND, 0.1, 2.5, 0.2, 0.15
 # Most of the channel stays free for a burst of withdrawals; edits leave half of the rest to first bindings.
-QUEUE_PART, DRAIN_PART, EDITS, SLOW_CHANNEL, MARKS = 0.3, 0.95, 0.5, 0.2, 5000
+QUEUE_PART, QUEUE_SPAN, DRAIN_PART, EDITS, SLOW_CHANNEL, MARKS = 0.3, 3 * SECOND // 2, 0.95, 0.5, 0.2, 5000
 # Parts of a proxy's messages that orders may use: ordinary ones, first bindings, cold lines, drains.
 ORDINARY, PRESSING, GUARDING, BINDING = 0.6, 0.75, 0.8, 1.0
 # Health: what counts as evidence, as failing and as a cut, and how what is out is tried again.
@@ -74,6 +74,8 @@
         self.firm = min(0.9, FIRM_LOAD / terms.fall_multiple)
         self.drain_per_ns = terms.lines_per_s * SLOW_CHANNEL / SECOND
         self.head, self.queue_limit = terms.head, terms.waiting_limit
+        # A large fleet's limit may hold many seconds of lines, behind which every answer to trouble would wait.
+        self.usual = min(QUEUE_PART * terms.waiting_limit, terms.lines_per_s * QUEUE_SPAN / SECOND)
         self.message_limit, self.message_span = terms.message_limit or 1 << 30, terms.message_span
         self.way, self.period = terms.way, terms.report_period
         self.spans = deque([terms.report_period], maxlen=SAMPLES)
@@ -84,6 +86,7 @@
         self.masks = [(yields, True)] * (yields > 0) + [((1 << len(density)) - 1 - yields, False)]
         self.servers, self.proxies = dict[int, Server](), dict[int, Proxy]()
         self.laid, self.eased = dict[int, dict[int, float]](), dict[int, tuple[float, int]]()
+        self.edited = dict[int, int]()
         self.laid_levels = dict[int, dict[int, tuple[api.Again, float]]]()
         self.shut_gap = max(0, terms.grace - terms.way_most) // 2 if terms.message_limit else 0
         self.ill, self.cut = dict[int, Spell](), dict[tuple[int, int], Spell]()
@@ -399,9 +402,13 @@
             self.tend_slices()
         # Edits of tables in use would keep the others waiting for their first, with servers that may be lost.
         self.unbound = any(proxy.table is None for _, proxy in self.joined())
+        # Edits wait until the channel has nearly run dry and then go together: line by line each would cost
+        # every proxy of its table a message of its own.
+        self.idle = self.written - self.gone <= EDITS * self.usual
         self.shrink()
         tables = {} if self.sliced else self.plan()
-        for table in tables:
+        self.placed = {index for laid in self.laid.values() for index in laid}
+        for table in sorted(tables, key=lambda table: self.edited.get(table, 0)):
             self.lay(table, tables[table])
         # Let in again only after its lines are laid: an old line may be larger than a cold server stands.
         self.withdraw(False)
@@ -446,8 +453,10 @@
         horizon = self.now - self.message_span
         written = max((sum(at > horizon for at in proxy.messages) for proxy in fresh), default=0)
         waiting = self.written - self.gone
-        usual = QUEUE_PART * (EDITS if self.unbound and part == ORDINARY else 1.0)
-        most = self.queue_limit * (DRAIN_PART if part >= GUARDING else usual)
+        usual = self.usual * (EDITS if self.unbound and part == ORDINARY else 1.0)
+        most = self.queue_limit * DRAIN_PART if part >= GUARDING else usual
+        if part == ORDINARY and not self.idle:
+            return False
         if waiting and waiting + cost > most or written >= part * self.message_limit:
             return False
         for index in proxies:
@@ -478,9 +487,12 @@
         # of servers that are shut out harm nobody and can wait for an idle channel.
         kept = wanted.keys() | (self.shut if self.written - self.gone > self.head else ())
         changes += [(index, 0.0) for index in laid if index not in kept]
-        part = ORDINARY if any(index in laid and index not in self.shut for index in wanted) else PRESSING
+        # A server that no table has yet brings what drains have taken; what only moves or changes can wait.
+        fresh = not any(index in laid and index not in self.shut for index in wanted)
+        changes.sort(key=lambda change: change[0] in self.placed)
         for index, weight in changes:
-            if self.afford(users, 1, part):
+            if self.afford(users, 1, PRESSING if fresh or index not in self.placed else ORDINARY):
+                self.edited[table] = self.now
                 self.orders.append(api.Share(table, index, weight))
                 laid[index] = weight
                 if not weight:
@@ -488,7 +500,7 @@
         levels = self.laid_levels.setdefault(table, {})
         for mask, yields in self.masks:
             wish = self.again, round(self.level, 2) if yields and self.levels_heeded else 1.0
-            if levels.get(mask) != wish and self.afford(users, 1, ORDINARY):
+            if levels.get(mask) != wish and self.afford(users, 1, PRESSING):
                 self.orders.append(api.Level(table, mask, *wish))
                 levels[mask] = wish
 
