Keep cold servers in use where no proxy can avoid a line before it is warm

Ruled out: cold servers that fail (0.00 to 0.02 bad, 140 ms), calls, list. Lines at fault: warmth, which takes a cold server's line away or lowers it to 0.4 whenever some fail, against proxies that avoid what failed them five times on end. At size a proxy meets a line once in ten seconds and more, and avoids none in time. Change: the settings' strikes and the tries met tell whether lines can be avoided within the calm spell (herds); where not, the part follows the share of tries that go well. Where they can, and where strikes are 0, nothing changes.

--- a/ambershift/interface.py
+++ b/ambershift/interface.py
@@ -72,6 +72,7 @@
     single_owner: bool
     in_hand: int
     lease: int
+    strikes: int
 
 
 class Entry(NamedTuple):
--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -71,7 +71,8 @@
         self.watch_gap, self.watch_gap_most = SECOND, terms.told_after // 3
         self.binding = {api.Phase.DRAINING} | (set() if terms.only_draining_binds else {api.Phase.GONE})
         self.cold, self.cold_share = terms.cold, terms.cold_share
-        self.firm = min(0.9, FIRM_LOAD / terms.fall_multiple)
+        self.firm, self.fall_multiple = min(0.9, FIRM_LOAD / terms.fall_multiple), terms.fall_multiple
+        self.strikes, self.herds, self.well = terms.strikes, True, 0.0
         self.drain_per_ns = terms.lines_per_s * SLOW_CHANNEL / SECOND
         self.head, self.queue_limit = terms.head, terms.waiting_limit
         # A large fleet's limit may hold many seconds of lines, behind which every answer to trouble would wait.
@@ -186,10 +187,12 @@
         part = self.cold_share + (1 - self.cold_share) * age / self.cold
         # Proxies that avoid servers that failed them send all to the one line left: while most tries fail,
         # or may unseen by a controller just born, a cold server waits until it stands twice its full load.
-        if self.now < self.calm_at + CALM_SPELL and part < self.firm:
+        wary = self.now < self.calm_at + CALM_SPELL
+        if wary and self.herds and part < self.firm:
             return 0.0
-        if self.now < self.calm_at + CALM_SPELL or self.level < 1.0:
-            part *= COLD_WARY
+        if wary or self.level < 1.0:
+            # Where none avoids, what falls on it is what falls on all: so many times what is delivered.
+            part *= COLD_WARY if self.herds else min(1.0, COLD_WARY * self.fall_multiple * self.well)
         return int(part / COLD_STEP) * COLD_STEP
 
     def usable(self) -> dict[int, float]:
@@ -250,6 +253,10 @@
         fresh = {index: self.recent(server, self.now - 5 * self.lag // 4) for index, server in self.ready()}
         tries = sum(one[0] for one in fresh.values())
         good = tries - sum(one[1] for one in fresh.values())
+        self.well = good / tries if tries else 0.0
+        # Whether proxies meet a line often enough to avoid it for failures on end before it is well again.
+        lines = max(map(len, self.laid.values()), default=1)
+        self.herds = tries * CALM_SPELL > self.strikes * lines * len(self.joined()) * self.lag * 5 / 4
         # Nothing met is no calm either: with all servers beyond a cut the first to return takes every flow.
         if usual > SHARED_BAD or not tries:
             self.calm_at = self.now
--- a/ambershift/terms.py
+++ b/ambershift/terms.py
@@ -105,7 +105,8 @@
         report_period=to_ns(number(info, "cycle", 1000)), levels=str(info.get("admit", "silent")),
         slices=int(number(info, "slices", 0)),
         single_owner=bool(info.get("one_owner", False)),
-        in_hand=to_ns(number(info, "in_flight_max", 0)), lease=to_ns(number(info, "tenure", 0)))
+        in_hand=to_ns(number(info, "in_flight_max", 0)), lease=to_ns(number(info, "tenure", 0)),
+        strikes=int(number(info, "strikes", 0)))
 
 
 def read_names(found: Mapping[str, Any]) -> Names:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -247,6 +247,22 @@
     assert plain.shut == set(range(72))
 
 
+def wave(plain: Plain, tries: int, bad: int) -> int:
+    """Six in ten servers are replaced while some tries fail; gives the fewest new ones that a proxy holds."""
+    plain.run(S, *[met(i, tries, 0, i % 4) for i in range(120)])
+    plain.tell(api.Listed(False, False, (*[entry(i, i % 4, api.Phase.DRAINING) for i in range(72)],
+                                         *[entry(i, i % 4, since=plain.now) for i in range(120, 192)])))
+    for _ in range(5):
+        plain.run(S, *[met(i, tries, bad, i % 4) for i in range(72, 192)])
+    return min(sum(i >= 120 for i in lines(plain, proxy)) for proxy in plain.proxies)
+
+
+def test_cold_servers_stay_in_use_where_no_proxy_meets_a_line_often_enough_to_avoid_it() -> None:
+    assert wave(large(120, 140), 4, 1) >= 12
+    # As many tries at each line as make proxies turn to the lines left within the calm spell.
+    assert wave(large(120, 140), 400, 100) == 0
+
+
 def test_first_bindings_come_before_edits_of_tables_in_use_and_the_busiest_first() -> None:
     plain = Plain(make_terms(lines_per_s=150.0, waiting_limit=400.0), [entry(i, i % 2) for i in range(40)])
     plain.tell(*[api.Joined(proxy, proxy % 2, float(proxy), True) for proxy in range(12)])
