Part zones at size: a table for each part of a zone, dealt as zones are

Ruled out: the channel's speed (marks come back at the told rate), CPU, unanswered calls. Change: where the queue's ordinary room can't hold a binding of all our proxies, zones are parted, no part under eight servers; shares, dues, lending and fallback are as before, of parts. Letting in waits only until no line is larger than the server stands; gone servers' lines go with the next edits. Proxies are kept by table, their usage in sums.

--- a/ambershift/interface.py
+++ b/ambershift/interface.py
@@ -73,6 +73,7 @@
     in_hand: int
     lease: int
     strikes: int
+    proxies: float
 
 
 class Entry(NamedTuple):
--- a/ambershift/modelcheck/models/policy.py
+++ b/ambershift/modelcheck/models/policy.py
@@ -41,6 +41,8 @@
     slices=0,
     single_owner=False,
     in_hand=0,
+    strikes=0,
+    proxies=2.0,
     lease=0,
 )
 
--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -5,8 +5,8 @@
 in `ambershift/interface.py`, and docs/design.md tells which part comes from where.
 """
 
-from collections import deque
-from collections.abc import Sequence
+from collections import defaultdict, deque
+from collections.abc import Collection, Sequence
 from statistics import fmean, median
 
 from ambershift import interface as api
@@ -18,6 +18,7 @@
 TRAFFIC_WINDOW, SHARE_MOVE, WORTH_LEAST, OVERLOAD_LIMIT, OVERLOAD_CALM = 30 * SECOND, 0.1, 2.5, 0.2, 0.15
 # Most of the channel stays free for a burst of withdrawals; edits leave half of the rest to first bindings.
 QUEUE_PART, QUEUE_SPAN, DRAIN_PART, EDITS, SLOW_CHANNEL, MARKS = 0.3, 3 * SECOND // 2, 0.95, 0.5, 0.2, 5000
+PART_LEAST = 8  # Servers of a part of a zone, where zones are parted.
 # Parts of a proxy's messages that orders may use: ordinary ones, first bindings, cold lines, drains.
 ORDINARY, PRESSING, GUARDING, BINDING = 0.6, 0.75, 0.8, 1.0
 # Health: what counts as evidence, as failing and as a cut, and how what is out is tried again.
@@ -42,11 +43,21 @@
 
 class Proxy:
     def __init__(self, zone: int) -> None:
-        self.zone, self.joined, self.rate = zone, True, 0.0
+        self.zone, self.rate, self.joined_at = zone, 0.0, 0
         self.table: int | None = None
         self.usage: deque[tuple[int, int, int]] = deque()
+        self.came = self.span = 0  # Sums over the usage held.
         self.messages: deque[int] = deque(maxlen=SAMPLES)
 
+    def hear(self, now: int, event: api.Usage) -> None:
+        self.usage.append((now, event.came, event.span))
+        self.came, self.span = self.came + event.came, self.span + event.span
+
+    def forget(self, before: int) -> None:
+        while self.usage and self.usage[0][0] < before:
+            _, came, span = self.usage.popleft()
+            self.came, self.span = self.came - came, self.span - span
+
 
 class Spell:
     """Something kept out for a while, then tried with a small part, again and again until it does well."""
@@ -73,11 +84,11 @@
         self.cold, self.cold_share = terms.cold, terms.cold_share
         self.firm, self.fall_multiple = min(0.9, FIRM_LOAD / terms.fall_multiple), terms.fall_multiple
         self.strikes, self.herds, self.well = terms.strikes, True, 0.0
-        self.drain_per_ns = terms.lines_per_s * SLOW_CHANNEL / SECOND
+        self.drain_per_ns, self.lines_per_s = terms.lines_per_s * SLOW_CHANNEL / SECOND, terms.lines_per_s
         self.head, self.queue_limit = terms.head, terms.waiting_limit
-        # A large fleet's limit may hold many seconds of lines, behind which every answer to trouble would wait.
+        # A large fleet's limit may hold many seconds of lines that any answer to trouble would wait behind.
         self.usual = min(QUEUE_PART * terms.waiting_limit, terms.lines_per_s * QUEUE_SPAN / SECOND)
-        self.message_limit, self.message_span = terms.message_limit or 1 << 30, terms.message_span
+        self.message_limit, self.message_span = terms.message_limit, terms.message_span
         self.way, self.period = terms.way, terms.report_period
         self.spans = deque([terms.report_period], maxlen=SAMPLES)
         self.budget, self.levels_heeded = min(one.budget for one in terms.groups), terms.levels == "fraction"
@@ -85,7 +96,9 @@
         density = [group.utility / group.budget for group in terms.groups]
         yields = sum(1 << at for at, one in enumerate(density) if one < max(density))
         self.masks = [(yields, True)] * (yields > 0) + [((1 << len(density)) - 1 - yields, False)]
-        self.servers, self.proxies = dict[int, Server](), dict[int, Proxy]()
+        self.servers, self.proxies, self.joined = dict[int, Server](), dict[int, Proxy](), dict[int, Proxy]()
+        self.users = defaultdict[int | None, dict[int, Proxy]](dict)  # Joined proxies by their table.
+        self.due_proxies, self.parts, self.zone_of = terms.proxies, 0, dict[int, int]()
         self.laid, self.eased = dict[int, dict[int, float]](), dict[int, tuple[float, int]]()
         self.edited = dict[int, int]()
         self.laid_levels = dict[int, dict[int, tuple[api.Again, float]]]()
@@ -120,14 +133,15 @@
                     self.join(event)
                 case api.Applied():
                     self.hear_applied(event)
-                case api.Left() if event.proxy in self.proxies:
-                    self.proxies[event.proxy].joined = False
+                case api.Left() if event.proxy in self.joined:
+                    del self.joined[event.proxy]
+                    self.users[self.proxies[event.proxy].table].pop(event.proxy)
                 case api.Met() if event.server in self.servers:
                     self.servers[event.server].met.append((now, event))
                     self.spans.append(event.span)
                     self.heard = True
                 case api.Usage() if event.proxy in self.proxies:
-                    self.proxies[event.proxy].usage.append((now, event.came, event.span))
+                    self.proxies[event.proxy].hear(now, event)
                 case api.Due() if event.token == self.token:
                     self.token += 1
                     self.orders.append(api.Wake(BEAT, self.token))
@@ -173,7 +187,9 @@
     def join(self, event: api.Joined) -> None:
         known = self.proxies.setdefault(event.proxy, Proxy(event.zone))
         # A new stream knows none of our orders, also when the old one's end was never told.
-        known.zone, known.joined, known.table, known.rate = event.zone, True, None, event.rate
+        self.users[known.table].pop(event.proxy, None)
+        known.zone, known.table, known.rate, known.joined_at = event.zone, None, event.rate, self.now
+        self.joined[event.proxy] = self.users[None][event.proxy] = known
         known.messages.clear()
 
     # What is seen
@@ -209,9 +225,6 @@
         return [(index, server) for index, server in self.servers.items()
                 if (server.entry.phase == api.Phase.READY or server.doubted) and server.entry.weight > 0]
 
-    def joined(self) -> list[tuple[int, Proxy]]:
-        return [(index, proxy) for index, proxy in self.proxies.items() if proxy.joined]
-
     def recent(self, server: Server, since: int, only: int | None = None) -> tuple[int, int, float]:
         """Tries, bad ones and mean time of the good; tries across a cut tell nothing of the server."""
         tries, bad, took = 0, 0, 0.0
@@ -256,7 +269,7 @@
         self.well = good / tries if tries else 0.0
         # Whether proxies meet a line often enough to avoid it for failures on end before it is well again.
         lines = max(map(len, self.laid.values()), default=1)
-        self.herds = tries * CALM_SPELL > self.strikes * lines * len(self.joined()) * self.lag * 5 / 4
+        self.herds = tries * CALM_SPELL > self.strikes * lines * len(self.joined) * self.lag * 5 / 4
         # Nothing met is no calm either: with all servers beyond a cut the first to return takes every flow.
         if usual > SHARED_BAD or not tries:
             self.calm_at = self.now
@@ -278,7 +291,7 @@
     def find_cuts(self, evidence: int) -> None:
         # It covers any trouble between two zones, a lost zone too; bad everywhere is overload and no cut.
         met = {(near, far): self.across((near, far), self.now - evidence)
-               for near in sorted(self.share) for far in range(self.zones)}
+               for near in sorted(set(self.zone_of.values())) for far in range(self.zones)}
         tries, bad = sum(one[0] for one in met.values()), sum(one[1] for one in met.values())
         for pair, (some, failed, failing) in met.items():
             clear = failing >= CUT_SERVERS and some >= EVIDENCE_TRIES and failed > CUT_SHARE * some
@@ -287,7 +300,7 @@
                 self.cut[pair] = Spell(self.now)
         for pair, spell in list(self.cut.items()):
             some, failed, _ = self.across(pair, spell.until + self.settle)
-            if spell.over(self.now, some, failed, CUT_SHARE) or pair[0] not in self.share:
+            if spell.over(self.now, some, failed, CUT_SHARE) or pair[0] not in self.zone_of.values():
                 del self.cut[pair]
 
     def ease(self) -> None:
@@ -324,66 +337,89 @@
 
     # The design's ordinary path
 
+    def part_of(self, index: int, zone: int) -> int:
+        return zone if zone < 0 else zone * self.parts + index % self.parts
+
+    def split(self, servers: int) -> None:
+        """Part zones at size, each part with a table, so that the queue can hold a binding of all proxies."""
+        room = self.lines_per_s * QUEUE_SPAN / SECOND / max(1, self.due_proxies) - self.head - 4
+        each = max(PART_LEAST, min(room, servers)) * self.zones
+        self.parts = max(1, int(servers / each))
+
     def zone_shares(self) -> dict[int, float]:
-        """Each zone's share of our own proxies' traffic, held until one moves by a tenth."""
+        """The share of our own proxies' traffic of each part of a zone, held until one moves by a tenth."""
         # By what reports span: where they are cut short, some cover more time. None counts as quite silent.
-        joined = [proxy for _, proxy in self.joined()]
-        rates: dict[int, list[float]] = {zone: [] for zone in sorted({proxy.zone for proxy in joined})}
-        for proxy in joined:
-            while proxy.usage and proxy.usage[0][0] < self.now - TRAFFIC_WINDOW:
-                proxy.usage.popleft()
-            if span := sum(one[2] for one in proxy.usage):
-                rates[proxy.zone].append((1 + sum(one[1] for one in proxy.usage)) / span)
-        every = [rate for zone in rates for rate in rates[zone]] or [1.0]
-        flow = {zone: sum(one.zone == zone for one in joined) * fmean(rates[zone] or every) for zone in rates}
-        fresh = {zone: flow[zone] / sum(flow.values()) for zone in flow}
+        rates, count = dict[int, list[float]](), dict[int, int]()
+        self.zone_of = {}
+        for index, proxy in self.joined.items():
+            part = self.part_of(index, proxy.zone)
+            self.zone_of[part], count[part] = proxy.zone, count.get(part, 0) + 1
+            proxy.forget(self.now - TRAFFIC_WINDOW)
+            if proxy.span:
+                rates.setdefault(part, []).append((1 + proxy.came) / proxy.span)
+        every = [rate for part in sorted(rates) for rate in rates[part]] or [1.0]
+        flow = {part: count[part] * fmean(rates.get(part, every)) for part in sorted(count)}
+        fresh = {part: flow[part] / sum(flow.values()) for part in flow}
         if fresh.keys() != self.share.keys() or any(
-                abs(fresh[zone] - self.share[zone]) > SHARE_MOVE * self.share[zone] for zone in fresh):
+                abs(fresh[part] - self.share[part]) > SHARE_MOVE * self.share[part] for part in fresh):
             self.share = fresh
         return self.share
 
-    def deal(self, parts: dict[int, float], shares: dict[int, float]) -> dict[int, list[int]]:
+    def deal(self, worth: dict[int, float], shares: dict[int, float]) -> dict[int, list[int]]:
         """Each zone keeps its own servers up to its due and borrows from what others have left."""
-        due = {zone: share * sum(parts.values()) / sum(shares.values()) for zone, share in shares.items()}
+        due = {part: share * sum(worth.values()) / sum(shares.values()) for part, share in shares.items()}
         got = self.got = dict.fromkeys(shares, 0.0)
-        lines, spare = {zone: list[int]() for zone in shares}, list[int]()
-        for index in sorted(parts, key=lambda index: (-parts[index], index)):
-            zone = self.servers[index].entry.zone
-            if zone in due and got[zone] + parts[index] / 2 <= due[zone]:
-                lines[zone].append(index)
-                got[zone] += parts[index]
+        lines, spare = {part: list[int]() for part in shares}, list[int]()
+        homes = defaultdict[int, list[int]](list)
+        for part in due:
+            homes[self.zone_of[part]].append(part)
+        for index in sorted(worth, key=lambda index: (-worth[index], index)):
+            fits = [part for part in homes[self.servers[index].entry.zone]
+                    if got[part] + worth[index] / 2 <= due[part]]
+            if fits:
+                # Parts of a zone are alike: a server stays in its own, else the worst off has it.
+                part = max(fits, key=lambda part: (index in self.laid.get(part, ()), due[part] - got[part]))
+                lines[part].append(index)
+                got[part] += worth[index]
             else:
                 spare.append(index)
         for index in spare if due else ():
             # The worst off borrows first; a server stays with the zone that has it, else tables would churn.
-            zone = max(due, key=lambda zone: (
-                due[zone] - got[zone] + 0.3 * (index in self.laid.get(zone, ())) + 0.1 * (
-                    zone == self.servers[index].entry.zone), -zone))
-            lines[zone].append(index)
-            got[zone] += parts[index]
-        worst = max(((due[zone] - got[zone]) / got[zone] if got[zone] else 1.0 for zone in due), default=0.0)
+            part = max(due, key=lambda part: (
+                due[part] - got[part] + 0.3 * (index in self.laid.get(part, ())) + 0.1 * (
+                    self.zone_of[part] == self.servers[index].entry.zone), -part))
+            lines[part].append(index)
+            got[part] += worth[index]
+        worst = max(((due[part] - got[part]) / got[part] if got[part] else 1.0 for part in due), default=0.0)
         self.fallback = worst > (OVERLOAD_CALM if self.fallback else OVERLOAD_LIMIT)
         return lines
 
     def plan(self) -> dict[int, dict[int, float]]:
-        parts = self.usable()
-        shares = self.zone_shares()
-        if not parts or not shares:
+        worth = self.usable()
+        if worth and not self.parts:
+            self.split(len(worth))
+        shares = self.zone_shares() if worth else {}
+        if not worth or not shares:
             return {}
-        weigh = {index: self.servers[index].entry.weight * part for index, part in parts.items()}
+        weigh = {index: self.servers[index].entry.weight * part for index, part in worth.items()}
         # With less, one sick server is much of a zone, and cold lines would take a traffic not yet seen.
-        reached = {zone: self.reach(zone, weigh) for zone, _ in sorted(self.cut) if zone in shares}
-        apart = {zone: lines for zone, lines in reached.items()
-                 if sum(parts[one] for one in lines) >= WORTH_LEAST}
-        near = {zone: share for zone, share in shares.items() if zone not in apart}
-        lines = self.deal(parts, near)
-        while small := sorted((had, zone) for zone, had in self.got.items() if had < WORTH_LEAST):
+        apart = {}
+        for part in shares:
+            if any(near == self.zone_of[part] for near, _ in self.cut):
+                reached = self.reach(self.zone_of[part], weigh)
+                own = {one: weight for one, weight in reached.items() if (one - part) % self.parts == 0}
+                for lines in (reached, own):
+                    if sum(worth[one] for one in lines) >= WORTH_LEAST:
+                        apart[part] = lines
+        near = {part: share for part, share in shares.items() if part not in apart}
+        dealt = self.deal(worth, near)
+        while small := sorted((had, part) for part, had in self.got.items() if had < WORTH_LEAST):
             del near[small[0][1]]
-            lines = self.deal(parts, near)
-        zoned = -1 not in near and all(self.servers[index].entry.zone >= 0 for index in parts)
-        if not self.fallback and zoned and len(parts) >= self.zones:
-            apart |= {zone: {index: weigh[index] for index in lines[zone]} for zone in near}
-        return apart if apart.keys() >= shares.keys() else apart | {self.zones: weigh}
+            dealt = self.deal(worth, near)
+        zoned = -1 not in near and all(self.servers[index].entry.zone >= 0 for index in worth)
+        if not self.fallback and zoned and len(worth) >= self.zones:
+            apart |= {part: {index: weigh[index] for index in dealt[part]} for part in near}
+        return apart if apart.keys() >= shares.keys() else apart | {self.zones * self.parts: weigh}
 
     def reach(self, zone: int, weigh: dict[int, float]) -> dict[int, float]:
         spells = {index: self.cut.get((zone, self.servers[index].entry.zone)) for index in weigh}
@@ -408,7 +444,7 @@
         if self.sliced:
             self.tend_slices()
         # Edits of tables in use would keep the others waiting for their first, with servers that may be lost.
-        self.unbound = any(proxy.table is None for _, proxy in self.joined())
+        self.unbound = bool(self.users[None])
         # Edits wait until the channel has nearly run dry and then go together: line by line each would cost
         # every proxy of its table a message of its own.
         self.idle = self.written - self.gone <= EDITS * self.usual
@@ -417,7 +453,6 @@
         self.placed = {index for laid in self.laid.values() for index in laid}
         for table in sorted(tables, key=lambda table: self.edited.get(table, 0)):
             self.lay(table, tables[table])
-        # Let in again only after its lines are laid: an old line may be larger than a cold server stands.
         self.withdraw(False)
         self.bind(tables)
         if self.spent:
@@ -437,62 +472,63 @@
         # Against a message for each of a wave, or more lines than the channel holds: the rest waits a part.
         if out and self.now < self.shut_at:
             return
-        everyone = [proxy for proxy, _ in self.joined()]
         for index, server in self.servers.items():
             if (index in self.shut) != out and (server.entry.phase in self.binding) == out:
-                # It costs a line only where it may be held: in a table that has it, or in one not of ours.
-                holders = [proxy for proxy in everyone if self.may_hold(proxy, index)]
-                if not self.afford(holders, 1, BINDING if out else ORDINARY):
+                if not out and any(laid.get(index, 0.0) > self.most(server) for laid in self.laid.values()):
+                    continue  # An old line may be larger than a cold server stands.
+                if not self.afford(self.holders(index), 1, BINDING if out else PRESSING):
                     self.shut_at = self.now + self.shut_gap // 2 * out
                     break
                 self.shut ^= {index}
                 self.shut_at = self.now + self.shut_gap * out
                 self.orders.append(api.Withdraw(index, out))
 
-    def may_hold(self, proxy: int, server: int) -> bool:
-        table = self.proxies[proxy].table
-        return table is None or server in self.laid[table]
+    def holders(self, server: int) -> list[int]:
+        """Proxies to which a withdrawal costs a line: with a table that has it, or with one not of ours."""
+        return [proxy for table, users in self.users.items() if table is None or server in self.laid[table]
+                for proxy in users]
 
-    def afford(self, proxies: list[int], lines: int, part: float) -> bool:
+    def afford(self, proxies: Collection[int], lines: int, part: float) -> bool:
         """Take room in the channel and in each proxy's count of messages, or leave it for a later turn."""
         fresh = [self.proxies[index] for index in proxies if index not in self.spent]
-        cost = lines * len(proxies) + (self.head + 1) * len(fresh)
-        horizon = self.now - self.message_span
-        written = max((sum(at > horizon for at in proxy.messages) for proxy in fresh), default=0)
+        cost, written = lines * len(proxies) + (self.head + 1) * len(fresh), 0
+        if self.message_limit:
+            horizon = self.now - self.message_span
+            written = max((sum(at > horizon for at in proxy.messages) for proxy in fresh), default=0)
         waiting = self.written - self.gone
         usual = self.usual * (EDITS if self.unbound and part == ORDINARY else 1.0)
         most = self.queue_limit * DRAIN_PART if part >= GUARDING else usual
         if part == ORDINARY and not self.idle:
             return False
-        if waiting and waiting + cost > most or written >= part * self.message_limit:
+        if waiting and waiting + cost > most or self.message_limit and written >= part * self.message_limit:
             return False
         for index in proxies:
             self.spent[index] = self.spent.get(index, self.head + 1) + lines
         self.written += cost
-        for proxy in fresh:
+        for proxy in fresh if self.message_limit else ():
             proxy.messages.append(self.now)
         return True
 
-    def users(self, table: int) -> list[int]:
-        return [index for index, proxy in self.joined() if proxy.table == table]
+    def most(self, server: Server) -> float:
+        return server.entry.weight * max(COLD_STEP, self.warmth(server.entry.since))
 
     def shrink(self) -> None:
         """Lower the lines of servers that started cold, in each table in use, also in one on its way out."""
         for index, server in self.ready():
-            most = server.entry.weight * max(COLD_STEP, self.warmth(server.entry.since))
+            most = self.most(server)
             for table, laid in self.laid.items():
-                if laid.get(index, 0.0) > most and self.afford(self.users(table), 1, GUARDING):
+                if laid.get(index, 0.0) > most and self.afford(self.users[table], 1, GUARDING):
                     laid[index] = most
                     self.orders.append(api.Share(table, index, most))
 
     def lay(self, table: int, wanted: dict[int, float]) -> None:
         laid = self.laid.setdefault(table, {})
-        users = self.users(table)
+        users = self.users[table]
         changes = [(index, weight) for index, weight in wanted.items()
                    if abs(weight - laid.get(index, 0.0)) > 1e-6]
         # Additions before removals: a table cut in two by the budget must never be the emptier for it. Lines
         # of servers that are shut out harm nobody and can wait for an idle channel.
-        kept = wanted.keys() | (self.shut if self.written - self.gone > self.head else ())
+        kept = wanted.keys() | (() if self.idle else self.shut)
         changes += [(index, 0.0) for index in laid if index not in kept]
         # A server that no table has yet brings what drains have taken; what only moves or changes can wait.
         fresh = not any(index in laid and index not in self.shut for index in wanted)
@@ -513,21 +549,24 @@
 
     def bind(self, tables: dict[int, dict[int, float]]) -> None:
         """Worst off first: proxies with no table of ours, of these the busiest."""
-        for index, proxy in sorted(self.joined(), key=lambda one: (one[1].table is not None, -one[1].rate)):
-            table = proxy.zone if proxy.zone in tables else self.zones
+        order = sorted(self.joined.items(), key=lambda one: (one[1].table is not None, -one[1].rate))
+        for index, proxy in order:
+            part = self.part_of(index, proxy.zone) if tables else -1
+            table = part if part in tables else self.zones * self.parts
             lines = self.laid.get(table, {})
             ready = any(line not in self.shut for line in lines)
             if proxy.table == table or not ready:
                 continue
             cost = 1 + len(lines) + len(self.shut & lines.keys()) + len(self.laid_levels.get(table, ()))
             if self.afford([index], cost, PRESSING if proxy.table is None else ORDINARY):
+                self.users[table][index] = self.users[proxy.table].pop(index)
                 proxy.table = table
                 self.orders.append(api.Bind(index, table, 0))
 
     def tend_slices(self) -> None:
         """Give each slice in our charge the server that holds least, and leave it there while it is ready."""
         # Against writes at two servers a single owner's slice stops until none can be in hand there.
-        everyone = [proxy for proxy, _ in self.joined()]
+        everyone = self.joined
         ready = self.usable()
         load = {index: sum(index in lines for lines in self.held.values()) for index in ready}
         for number, lines in sorted(self.held.items()):
--- a/ambershift/terms.py
+++ b/ambershift/terms.py
@@ -106,7 +106,8 @@
         slices=int(number(info, "slices", 0)),
         single_owner=bool(info.get("one_owner", False)),
         in_hand=to_ns(number(info, "in_flight_max", 0)), lease=to_ns(number(info, "tenure", 0)),
-        strikes=int(number(info, "strikes", 0)))
+        strikes=int(number(info, "strikes", 0)),
+        proxies=number(info, "proxies", 1) / max(1.0, number(found, "instances", 1)))
 
 
 def read_names(found: Mapping[str, Any]) -> Names:
--- a/tests/plain.py
+++ b/tests/plain.py
@@ -23,7 +23,7 @@
         bare_limit=4 * S, lines_per_s=1000.0, head=3.0, waiting_limit=1500.0,
         message_limit=12, message_span=10 * S,
         way=S // 5, way_most=S // 2, report_period=S, levels="fraction", slices=0, single_owner=False,
-        in_hand=S, lease=S, grace=3 * S, strikes=5)
+        in_hand=S, lease=S, grace=3 * S, strikes=5, proxies=8.0)
     return terms._replace(**changes)
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -229,12 +229,12 @@
     assert plain.shut >= set(range(30))
 
 
-def large(servers: int, proxies: int, zones: int = 4, **changes: object) -> Plain:
+def large(servers: int, crowd: int, zones: int = 4, **changes: object) -> Plain:
     """A fleet at size with its queue, on which every proxy has been bound."""
     terms = dict(zones=zones, lines_per_s=1200.0, waiting_limit=12_800.0, message_limit=0, grace=12 * S,
-                 bare_limit=17 * S, cold=17 * S) | changes
+                 bare_limit=17 * S, cold=17 * S, proxies=crowd / 2) | changes
     plain = Plain(make_terms(**terms), [entry(i, i % zones) for i in range(servers)])
-    plain.tell(*[api.Joined(proxy, proxy % zones, 2.0, True) for proxy in range(proxies)])
+    plain.tell(*[api.Joined(proxy, proxy % zones, 2.0, True) for proxy in range(crowd)])
     plain.run(30 * S)
     return plain
 
@@ -247,6 +247,27 @@
     assert plain.shut == set(range(72))
 
 
+def test_zones_are_parted_where_their_tables_are_too_large_for_the_channel() -> None:
+    # With a table of 50 lines for each of them the last of 1,400 would have been bound after 76 s.
+    plain = large(200, 1400, proxies=280, lines_per_s=1000.0, waiting_limit=29_000.0, bare_limit=45 * S)
+    assert all(plain.proxies.values())
+    for proxy in plain.proxies:
+        assert len(lines(plain, proxy)) == pytest.approx(8, abs=2)
+        assert all(i % 4 == proxy % 4 for i in lines(plain, proxy))
+    assert {i for proxy in plain.proxies for i in lines(plain, proxy)} == set(range(200))
+
+
+def test_a_server_that_returns_to_a_busy_channel_is_let_in_once_its_line_is_small() -> None:
+    plain = large(120, 140, proxies=40)
+    back = range(0, 28)
+    plain.run(4 * S, api.Listed(False, False, tuple(entry(i, i % 4, api.Phase.GONE) for i in back)))
+    plain.tell(api.Listed(False, False, tuple(entry(i, i % 4, since=plain.now) for i in back)))
+    for second in range(8):  # Shares that move each second leave the channel no idle moment.
+        plain.run(S, *[api.Usage(proxy, READS, 4 + 20 * (proxy % 4 == second % 4), 0, S)
+                       for proxy in plain.proxies])
+    assert not plain.shut
+
+
 def wave(plain: Plain, tries: int, bad: int) -> int:
     """Six in ten servers are replaced while some tries fail; gives the fewest new ones that a proxy holds."""
     plain.run(S, *[met(i, tries, 0, i % 4) for i in range(120)])
