Place proxies in the parts of their zone by the traffic they announce

Heavy proxies met by chance in one part. Change: a proxy that joins is put where the least traffic is announced; a zone's flow is as before, and is divided among its parts by what was measured, or announced where nothing was.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -18,7 +18,7 @@
 TRAFFIC_WINDOW, SHARE_MOVE, WORTH_LEAST, OVERLOAD_LIMIT, OVERLOAD_CALM = 30 * SECOND, 0.1, 2.5, 0.2, 0.15
 # Most of the channel stays free for a burst of withdrawals; edits leave half of the rest to first bindings.
 QUEUE_PART, QUEUE_SPAN, DRAIN_PART, EDITS, SLOW_CHANNEL, MARKS = 0.3, 3 * SECOND // 2, 0.95, 0.5, 0.2, 5000
-PART_LEAST = 8  # Servers of a part of a zone, where zones are parted.
+PART_LEAST, NO_PART = 8, -1  # Servers of a part of a zone, where zones are parted.
 # Parts of a proxy's messages that orders may use: ordinary ones, first bindings, cold lines, drains.
 ORDINARY, PRESSING, GUARDING, BINDING = 0.6, 0.75, 0.8, 1.0
 # Health: what counts as evidence, as failing and as a cut, and how what is out is tried again.
@@ -43,7 +43,7 @@
 
 class Proxy:
     def __init__(self, zone: int) -> None:
-        self.zone, self.rate, self.joined_at = zone, 0.0, 0
+        self.zone, self.part, self.rate = zone, NO_PART, 0.0
         self.table: int | None = None
         self.usage: deque[tuple[int, int, int]] = deque()
         self.came = self.span = 0  # Sums over the usage held.
@@ -188,7 +188,7 @@
         known = self.proxies.setdefault(event.proxy, Proxy(event.zone))
         # A new stream knows none of our orders, also when the old one's end was never told.
         self.users[known.table].pop(event.proxy, None)
-        known.zone, known.table, known.rate, known.joined_at = event.zone, None, event.rate, self.now
+        known.zone, known.part, known.table, known.rate = event.zone, NO_PART, None, event.rate
         self.joined[event.proxy] = self.users[None][event.proxy] = known
         known.messages.clear()
 
@@ -337,29 +337,46 @@
 
     # The design's ordinary path
 
-    def part_of(self, index: int, zone: int) -> int:
-        return zone if zone < 0 else zone * self.parts + index % self.parts
-
     def split(self, servers: int) -> None:
         """Part zones at size, each part with a table, so that the queue can hold a binding of all proxies."""
         room = self.lines_per_s * QUEUE_SPAN / SECOND / max(1, self.due_proxies) - self.head - 4
         each = max(PART_LEAST, min(room, servers)) * self.zones
         self.parts = max(1, int(servers / each))
 
+    def place(self) -> None:
+        """Put each proxy that has none into the part of its zone to which the least traffic is announced."""
+        loads = defaultdict[int, float](float)
+        for proxy in self.joined.values():
+            loads[proxy.part] += proxy.rate
+        for proxy in self.joined.values():
+            if proxy.part == NO_PART and proxy.zone >= 0:
+                first = proxy.zone * self.parts
+                proxy.part = min(range(first, first + self.parts), key=lambda part: loads[part])
+                loads[proxy.part] += proxy.rate
+
     def zone_shares(self) -> dict[int, float]:
         """The share of our own proxies' traffic of each part of a zone, held until one moves by a tenth."""
         # By what reports span: where they are cut short, some cover more time. None counts as quite silent.
-        rates, count = dict[int, list[float]](), dict[int, int]()
-        self.zone_of = {}
-        for index, proxy in self.joined.items():
-            part = self.part_of(index, proxy.zone)
-            self.zone_of[part], count[part] = proxy.zone, count.get(part, 0) + 1
+        self.place()
+        members, heard = defaultdict[int, list[Proxy]](list), defaultdict[int, list[float]](list)
+        for proxy in self.joined.values():
             proxy.forget(self.now - TRAFFIC_WINDOW)
+            members[proxy.zone].append(proxy)
             if proxy.span:
-                rates.setdefault(part, []).append((1 + proxy.came) / proxy.span)
-        every = [rate for part in sorted(rates) for rate in rates[part]] or [1.0]
-        flow = {part: count[part] * fmean(rates.get(part, every)) for part in sorted(count)}
-        fresh = {part: flow[part] / sum(flow.values()) for part in flow}
+                heard[proxy.zone].append((1 + proxy.came) / proxy.span)
+        every = [rate for zone in sorted(heard) for rate in heard[zone]] or [1.0]
+        flow, self.zone_of = defaultdict[int, float](float), {}
+        for zone in sorted(members):
+            mean = fmean(heard[zone] or every)
+            told = fmean(proxy.rate for proxy in members[zone]) or 1.0
+            # A zone has what its proxies' mean makes of their number, and its parts divide it among them.
+            rates = [(1 + proxy.came) / proxy.span if proxy.span else mean * (1e-3 + proxy.rate / told)
+                     for proxy in members[zone]]
+            scale = mean * len(rates) / sum(rates)
+            for proxy, rate in zip(members[zone], rates, strict=True):
+                flow[proxy.part] += rate * scale
+                self.zone_of[proxy.part] = zone
+        fresh = {part: flow[part] / sum(flow.values()) for part in sorted(flow)}
         if fresh.keys() != self.share.keys() or any(
                 abs(fresh[part] - self.share[part]) > SHARE_MOVE * self.share[part] for part in fresh):
             self.share = fresh
@@ -551,8 +568,7 @@
         """Worst off first: proxies with no table of ours, of these the busiest."""
         order = sorted(self.joined.items(), key=lambda one: (one[1].table is not None, -one[1].rate))
         for index, proxy in order:
-            part = self.part_of(index, proxy.zone) if tables else -1
-            table = part if part in tables else self.zones * self.parts
+            table = proxy.part if proxy.part in tables else self.zones * self.parts
             lines = self.laid.get(table, {})
             ready = any(line not in self.shut for line in lines)
             if proxy.table == table or not ready:
