Edits alone wait for the channel; levels and trials keep their place

Change: levels are ordinary again, only edits and moves wait for half of the room; a server on trial is not new. A beat's cost: samples are read from the newest and no further than the window; bind sorts only proxies that move; shrink passes over servers that never started cold.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -228,9 +228,10 @@
     def recent(self, server: Server, since: int, only: int | None = None) -> tuple[int, int, float]:
         """Tries, bad ones and mean time of the good; tries across a cut tell nothing of the server."""
         tries, bad, took = 0, 0, 0.0
-        for at, met in server.met:
-            counts = met.zone == only if only is not None else (met.zone, server.entry.zone) not in self.cut
-            if at >= since and counts:
+        for at, met in reversed(server.met):
+            if at < since:
+                break
+            if met.zone == only if only is not None else (met.zone, server.entry.zone) not in self.cut:
                 tries += met.tries
                 bad += met.bad
                 took += met.mean_time * (met.tries - met.bad)
@@ -515,8 +516,6 @@
         waiting = self.written - self.gone
         usual = self.usual * (EDITS if self.unbound and part == ORDINARY else 1.0)
         most = self.queue_limit * DRAIN_PART if part >= GUARDING else usual
-        if part == ORDINARY and not self.idle:
-            return False
         if waiting and waiting + cost > most or self.message_limit and written >= part * self.message_limit:
             return False
         for index in proxies:
@@ -532,6 +531,8 @@
     def shrink(self) -> None:
         """Lower the lines of servers that started cold, in each table in use, also in one on its way out."""
         for index, server in self.ready():
+            if not server.entry.since or self.now > server.entry.since + self.cold + COLD_BEAT:
+                continue
             most = self.most(server)
             for table, laid in self.laid.items():
                 if laid.get(index, 0.0) > most and self.afford(self.users[table], 1, GUARDING):
@@ -551,7 +552,8 @@
         fresh = not any(index in laid and index not in self.shut for index in wanted)
         changes.sort(key=lambda change: change[0] in self.placed)
         for index, weight in changes:
-            if self.afford(users, 1, PRESSING if fresh or index not in self.placed else ORDINARY):
+            new = fresh or index not in self.placed and index not in self.ill
+            if (new or self.idle) and self.afford(users, 1, PRESSING if new else ORDINARY):
                 self.edited[table] = self.now
                 self.orders.append(api.Share(table, index, weight))
                 laid[index] = weight
@@ -560,21 +562,23 @@
         levels = self.laid_levels.setdefault(table, {})
         for mask, yields in self.masks:
             wish = self.again, round(self.level, 2) if yields and self.levels_heeded else 1.0
-            if levels.get(mask) != wish and self.afford(users, 1, PRESSING):
+            if levels.get(mask) != wish and self.afford(users, 1, ORDINARY):
                 self.orders.append(api.Level(table, mask, *wish))
                 levels[mask] = wish
 
     def bind(self, tables: dict[int, dict[int, float]]) -> None:
         """Worst off first: proxies with no table of ours, of these the busiest."""
-        order = sorted(self.joined.items(), key=lambda one: (one[1].table is not None, -one[1].rate))
-        for index, proxy in order:
-            table = proxy.part if proxy.part in tables else self.zones * self.parts
+        goals = {part: part if part in tables else self.zones * self.parts for part in {-1, *self.share}}
+        moves = [(index, proxy) for index, proxy in self.joined.items() if proxy.table != goals[proxy.part]]
+        for index, proxy in sorted(moves, key=lambda one: (one[1].table is not None, -one[1].rate)):
+            table = goals[proxy.part]
             lines = self.laid.get(table, {})
             ready = any(line not in self.shut for line in lines)
-            if proxy.table == table or not ready:
+            if not ready:
                 continue
             cost = 1 + len(lines) + len(self.shut & lines.keys()) + len(self.laid_levels.get(table, ()))
-            if self.afford([index], cost, PRESSING if proxy.table is None else ORDINARY):
+            first = proxy.table is None
+            if (first or self.idle) and self.afford([index], cost, PRESSING if first else ORDINARY):
                 self.users[table][index] = self.users[proxy.table].pop(index)
                 proxy.table = table
                 self.orders.append(api.Bind(index, table, 0))
