Let go of servers long gone and of marks that tell nothing any more

Seen: servers, what was withdrawn and the door's ids grew with each replacement (a test of 10,000 replacements: module's state 85 kB after 150 waves and 219 kB after 500); marks that proxies never answered stood until their number came round, 5,000 of them. Change: 300 s after a server was listed gone, no table has it and no proxy is unbound, the module drops its lines in tables nobody uses, lets it in again and gives Forget; the front then drops its id. The door never uses an index twice. A mark goes once all written before it has left. With a runtime API above, ids stay, as the desk keeps wishes by index.

--- a/ambershift/benchlink/host.py
+++ b/ambershift/benchlink/host.py
@@ -78,7 +78,11 @@
         door = self.doors[instance]
         try:
             orders = self.modules[instance].step(now, events)
-            body = b"".join([wire.write_order(door.order(order)) for order in orders])
+            body = b"".join([wire.write_order(door.order(order)) for order in orders
+                             if not isinstance(order, api.Forget)])
+            for order in orders:
+                if isinstance(order, api.Forget):
+                    door.forget(order.server)
         except Exception as error:  # the wire wants any failure of the decisions told, then the day ends
             cause = " ".join(f"{type(error).__name__}: {error}".split())
             body = wire.failure(cause)
--- a/ambershift/coordinator/program/assembly.py
+++ b/ambershift/coordinator/program/assembly.py
@@ -71,7 +71,7 @@
         self.watcher = Watcher(
             self.caller, start.known.version, start.terms.told_after, self.admit, put, book)
         prober = Prober(dialler, self.admit, clock.now, put, book)
-        self.route.carry = Send(self.route, self.relay, self.watcher, prober, book).carry
+        self.route.carry = Send(self.route, self.relay, self.watcher, prober, self.admit, book).carry
         self.intake = Intake(self.admit, put, book)
         roomy = int(max(0.0, start.memory_mb - OWN_MB) * ACCEPTED_A_MB)
         most = max(8, min(ACCEPTED_MOST, start.sockets - OWN_DESCRIPTORS - reserved, roomy))
--- a/ambershift/coordinator/routing/admit.py
+++ b/ambershift/coordinator/routing/admit.py
@@ -90,6 +90,11 @@
     def applied(self, ack: relay.Ack) -> api.Applied:
         return api.Applied(ack.mark, to_ns(ack.took_ms), self.proxy(ack.proxy))
 
+    def forget(self, server: int) -> None:
+        """Reports on it are refused from now on; listed again, it gets another index."""
+        self.door.forget(server)
+        self.addresses.pop(server, None)
+
     def listed(self, listing: discovery.Listing, cached: bool) -> api.Listed:
         entries = []
         for one in listing.servers:
--- a/ambershift/coordinator/routing/send.py
+++ b/ambershift/coordinator/routing/send.py
@@ -5,6 +5,8 @@
 import asyncio
 
 from ambershift import interface as api
+from ambershift.coordinator.protocol.relay import RelayOrder
+from ambershift.coordinator.routing.admit import Admit
 from ambershift.coordinator.routing.book import Book
 from ambershift.coordinator.routing.probe import Prober
 from ambershift.coordinator.routing.relay import Relay
@@ -13,11 +15,13 @@
 
 
 class Send:
-    def __init__(self, route: Route, relay: Relay, watcher: Watcher, prober: Prober, book: Book) -> None:
-        self.route, self.relay, self.watcher, self.prober, self.book = route, relay, watcher, prober, book
+    def __init__(self, route: Route, relay: Relay, watcher: Watcher, prober: Prober, admit: Admit,
+                 book: Book) -> None:
+        self.route, self.relay, self.watcher, self.prober = route, relay, watcher, prober
+        self.admit, self.book = admit, book
 
     def carry(self, orders: list[api.Order]) -> None:
-        reply = []
+        reply, forgotten = list[RelayOrder](), list[int]()
         for order in orders:
             match order:
                 case api.Wake():
@@ -29,6 +33,8 @@
                     self.watcher.fetch()
                 case api.Probe():
                     self.prober.probe(order.server)
+                case api.Forget():
+                    forgotten.append(order.server)
                 case api.Note():
                     self.book.note("module", text=order.text[:1000])
                 case api.Tell():
@@ -37,3 +43,6 @@
                     reply.append(order)
         if reply:
             self.relay.push(reply)
+        # A front above keeps wishes and pictures by index, and shows names for them.
+        for server in forgotten if not self.route.tap else ():
+            self.admit.forget(server)
--- a/ambershift/door.py
+++ b/ambershift/door.py
@@ -8,17 +8,26 @@
 
 
 class Door(Generic[Id]):
-    """Maps a front's ids to small indices, in the order in which they were first listed, and back."""
+    """Maps a front's ids to small indices, in the order in which they were first listed, and back.
+
+    No index is used twice, so that what is late in coming can't be taken for another's.
+    """
 
     def __init__(self) -> None:
         self.indices: dict[Id, int] = {}
-        self.ids: list[Id] = []
+        self.ids: dict[int, Id] = {}
+        self.next = 0
 
     def index(self, one: Id) -> int:
         if one not in self.indices:
-            self.indices[one] = len(self.ids)
-            self.ids.append(one)
+            self.indices[one] = self.next
+            self.ids[self.next] = one
+            self.next += 1
         return self.indices[one]
 
     def known(self, one: Id) -> int | None:
         return self.indices.get(one)
+
+    def forget(self, index: int) -> None:
+        if index in self.ids:
+            del self.indices[self.ids.pop(index)]
--- a/ambershift/interface.py
+++ b/ambershift/interface.py
@@ -238,6 +238,12 @@
     body: bytes
 
 
+class Forget(NamedTuple):
+    """Nothing in the module refers to this server any more; should it be listed again, it is a new one."""
+
+    server: int
+
+
 class Note(NamedTuple):
     text: str
 
@@ -247,4 +253,5 @@
     token: int
 
 
-Order = (Share | Clear | Withdraw | Level | Bind | Mark | Probe | Watch | Fetch | Tell | Note | Wake)
+Order = (Share | Clear | Withdraw | Level | Bind | Mark | Probe | Watch | Fetch | Tell | Note | Wake
+         | Forget)
--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -18,7 +18,8 @@
 TRAFFIC_WINDOW, SHARE_MOVE, WORTH_LEAST, OVERLOAD_LIMIT, OVERLOAD_CALM = 30 * SECOND, 0.1, 2.5, 0.2, 0.15
 # Most of the channel stays free for a burst of withdrawals; edits leave half of the rest to first bindings.
 QUEUE_PART, QUEUE_SPAN, DRAIN_PART, EDITS, SLOW_CHANNEL, MARKS = 0.3, 3 * SECOND // 2, 0.95, 0.5, 0.2, 5000
-PART_LEAST, NO_PART = 8, -1  # Servers of a part of a zone, where zones are parted.
+# Servers of a part of a zone, where zones are parted; how long one is gone before no table can still have it.
+PART_LEAST, NO_PART, FORGET = 8, -1, 300 * SECOND
 # Parts of a proxy's messages that orders may use: ordinary ones, first bindings, cold lines, drains.
 ORDINARY, PRESSING, GUARDING, BINDING = 0.6, 0.75, 0.8, 1.0
 # Health: what counts as evidence, as failing and as a cut, and how what is out is tried again.
@@ -111,8 +112,8 @@
         self.level, self.level_at, self.again = 1.0, 0, api.Again.IF_NOT_RUN
         self.delivered: deque[float] = deque(maxlen=DELIVERED_SAMPLES)
         # Lines written, lines that surely left the channel, each mark's turn: lines before it and its own.
-        self.written, self.gone, self.marks = 0.0, 0.0, dict[int, tuple[float, dict[int, float]]]()
-        self.gone_at, self.mark, self.token, self.unbound = self.now, 0, 1, False
+        self.written, self.gone, self.marks = 0.0, 0.0, dict[int, tuple[float, dict[int, float], float]]()
+        self.gone_at, self.mark, self.token = self.now, 0, 1
         self.held, self.stopped = dict[int, dict[int, float]](), dict[int, int]()
         self.sliced, self.single_owner = terms.slices > 0, terms.single_owner
         # After this long without our leave no proxy writes to an owner and none has a write in hand there.
@@ -361,8 +362,7 @@
 
     def zone_shares(self) -> dict[int, float]:
         """The share of our own proxies' traffic of each part of a zone, held until one moves by a tenth."""
-        # By what reports span: where they are cut short, some cover more time. None counts as quite silent.
-        self.place()
+        self.place()  # By what reports span: cut short, some cover more time. None counts as quite silent.
         members, heard = defaultdict[int, list[Proxy]](list), defaultdict[int, list[float]](list)
         for proxy in self.joined.values():
             proxy.forget(self.now - TRAFFIC_WINDOW)
@@ -448,6 +448,22 @@
         return {index: weigh[index] * (TRIAL_PART if spell else 1.0)
                 for index, spell in spells.items() if spell is None or spell.trial}
 
+    def forget(self) -> None:
+        """Let go of servers long gone, or those that replacements leave behind would pile up for ever."""
+        gone = [index for index, server in self.servers.items() if server.entry.phase == api.Phase.GONE
+                and not server.doubted and self.now > server.told + FORGET]
+        for index in gone if not self.users[None] and not self.sliced else ():
+            for table, laid in self.laid.items():
+                if index in laid and self.afford(self.users[table], 1, ORDINARY):
+                    del laid[index]
+                    self.orders.append(api.Share(table, index, 0.0))
+            if not any(index in laid for laid in self.laid.values()):
+                self.orders += [api.Withdraw(index, False)] * (index in self.shut)
+                self.orders.append(api.Forget(index))
+                self.shut.discard(index)
+                for held in (self.servers, self.ill, self.eased):
+                    held.pop(index, None)
+
     # What is sent
 
     def turn(self) -> None:
@@ -465,10 +481,7 @@
             self.withdraw(True)
         if self.sliced:
             self.tend_slices()
-        # Edits of tables in use would keep the others waiting for their first, with servers that may be lost.
-        self.unbound = bool(self.users[None])
-        # Edits wait until the channel has nearly run dry and then go together: line by line each would cost
-        # every proxy of its table a message of its own.
+        # Edits go together once the channel has nearly run dry: else each is a message to all of its table.
         self.idle = self.written - self.gone <= EDITS * self.usual
         self.shrink()
         tables = {} if self.sliced else self.plan()
@@ -477,16 +490,20 @@
             self.lay(table, tables[table])
         self.withdraw(False)
         self.bind(tables)
+        self.forget()
+        # Of marks that were written before what has left no answer tells anything any more.
+        while self.marks and self.marks[old := next(iter(self.marks))][2] <= self.gone:
+            del self.marks[old]
         if self.spent:
             self.mark = self.mark % MARKS + 1
-            self.marks[self.mark] = self.before, self.spent
+            self.marks[self.mark] = self.before, self.spent, self.written
             self.orders.append(api.Mark(self.mark, False))
 
     def hear_applied(self, event: api.Applied) -> None:
         """Messages leave one after the other, so all that was written before an answered one has left."""
-        before, spent = self.marks.get(event.mark, (0.0, {}))
+        before, spent, upto = self.marks.get(event.mark, (0.0, {}, 0.0))
         if lines := spent.pop(event.proxy, 0.0):
-            self.marks[event.mark] = before + lines, spent
+            self.marks[event.mark] = before + lines, spent, upto
             self.gone = max(self.gone, before + lines)
 
     def withdraw(self, out: bool) -> None:
@@ -522,7 +539,7 @@
             horizon = self.now - self.message_span
             written = max((sum(at > horizon for at in proxy.messages) for proxy in fresh), default=0)
         waiting = self.written - self.gone
-        usual = self.usual * (EDITS if self.unbound and part == ORDINARY else 1.0)
+        usual = self.usual * (EDITS if self.users[None] and part == ORDINARY else 1.0)
         most = self.queue_limit * DRAIN_PART if part >= GUARDING else usual
         if waiting and waiting + cost > most or self.message_limit and written >= part * self.message_limit:
             return False
@@ -577,10 +594,8 @@
         goals = {part: part if part in tables else self.zones * self.parts for part in {-1, *self.share}}
         moves = [(index, proxy) for index, proxy in self.joined.items() if proxy.table != goals[proxy.part]]
         for index, proxy in sorted(moves, key=lambda one: (one[1].table is not None, -one[1].rate)):
-            table = goals[proxy.part]
-            lines = self.laid.get(table, {})
-            ready = any(line not in self.shut for line in lines)
-            if not ready:
+            lines = self.laid.get(table := goals[proxy.part], {})
+            if all(line in self.shut for line in lines):
                 continue
             cost = 1 + len(lines) + len(self.shut & lines.keys()) + len(self.laid_levels.get(table, ()))
             first = proxy.table is None
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,5 +1,6 @@
-"""The module at the size of the whole fleet, in virtual time beside the plain model, which checks the rules."""
+"""The module at the size of the whole fleet, in virtual time beside the plain model that checks the rules."""
 
+import pickle
 from collections import deque
 from collections.abc import Iterable
 
@@ -7,13 +8,16 @@
 from plain import READS, Plain, S, entry, make_terms
 
 from ambershift import interface as api
+from ambershift.door import Door
+from ambershift.policy import TableManager
 
 ZONES = 4
 
 
 def fleet(servers: int, crowd: int, nominal: int, **changes: object) -> Plain:
-    terms = {"zones": ZONES, "lines_per_s": 1000.0, "waiting_limit": 29_000.0, "message_limit": 0, "grace": 30 * S,
-             "bare_limit": 45 * S, "cold": 17 * S, "cold_share": 0.22, "proxies": nominal} | changes
+    terms = {"zones": ZONES, "lines_per_s": 1000.0, "waiting_limit": 29_000.0, "message_limit": 0,
+             "grace": 30 * S, "bare_limit": 45 * S, "cold": 17 * S, "cold_share": 0.22,
+             "proxies": nominal} | changes
     plain = Plain(make_terms(**terms), [entry(i, i % ZONES) for i in range(servers)])
     plain.tell(*[api.Joined(proxy, proxy % ZONES, 1.0, True) for proxy in range(crowd)])
     return plain
@@ -32,7 +36,7 @@
     plain = fleet(200, 2000, 400)
     plain.run(32 * S)
     assert all(plain.proxies.values())
-    # A table of about eight lines, two levels, the binding, a head and a mark; and one message for each proxy.
+    # A table of about eight lines, two levels, the binding, a head and a mark; one message for each proxy.
     assert plain.total <= 2000 * 16 and max(map(len, plain.written.values())) == 1
     assert {i for proxy in plain.proxies for i in held(plain, proxy)} == set(range(200))
 
@@ -79,7 +83,7 @@
 
 @pytest.mark.parametrize("slow", [S // 5, 2 * S])
 def test_a_list_service_that_is_slow_and_fails_is_not_stormed_by_five_coordinators(slow: int) -> None:
-    """Calls are taken in turn, each takes `slow`, and fail after 3 s in the row: whole and part lists by turns."""
+    """Calls are taken in turn, each takes `slow`, and fail after 3 s in the row; whole and part lists."""
     fleets = [fleet(40, 30, 30, must_watch=True) for _ in range(5)]
     for number, one in enumerate(fleets):
         one.module.state = number * 7919  # The seeds that they were born with differ.
@@ -104,3 +108,30 @@
     assert min(heard) >= 2
     # Together they never ask more often than each its first spacing allows, and less the more calls fail.
     assert len(calls) <= 5 * 40 / (1 if slow < S else 2)
+
+
+def test_nothing_grows_while_ten_thousand_servers_are_replaced_and_as_many_proxies_join_anew() -> None:
+    module, door, now, sizes = TableManager(), Door[str](), 100 * S, list[tuple[int, int]]()
+
+    def step(*events: api.Event) -> None:
+        for order in module.step(now, events):
+            if isinstance(order, api.Forget):
+                door.forget(order.server)
+            elif isinstance(order, api.Share | api.Withdraw):
+                assert order.server in door.ids, "an order for what was let go of"
+
+    step(api.Born(7, make_terms(zones=2, lines_per_s=1000.0, waiting_limit=9000.0, message_limit=0)))
+    for wave in range(500):
+        fresh = [entry(door.index(f"s-{wave}-{i}"), i % 2, since=now) for i in range(20)]
+        old = [entry(door.indices[f"s-{wave - 1}-{i}"], i % 2, api.Phase.GONE)
+               for i in range(20 * (wave > 0))]
+        step(api.Listed(False, False, (*fresh, *old)))
+        for _ in range(2):
+            now += 20 * S
+            step(*[api.Left(proxy) for proxy in range(10)], *[
+                api.Joined(proxy, proxy % 2, 1.0, False) for proxy in range(10)], *[
+                api.Met(0, one.server, 5, 1, S // 10, S, ()) for one in (*fresh, *old)], *[
+                api.Usage(proxy, READS, 9, 0, S) for proxy in range(20)], api.Due(module.token))
+        sizes.append((len(pickle.dumps(vars(module))), len(door.ids) + len(door.indices)))
+    assert min(door.ids) > 9000 and len(set(door.ids)) == len(door.indices), "indices are never used again"
+    assert sizes[-1][0] < 1.05 * max(one[0] for one in sizes[50:150]) and sizes[-1][1] <= sizes[60][1]
