--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,4 @@
 measure: dev
 	$(PYTHON) -m benchmarks.runtime_socket
 	$(PYTHON) -m benchmarks.model_checking
+	$(PYTHON) -m benchmarks.fleet_beat
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,6 +1,7 @@
 """The module at the size of the whole fleet, in virtual time beside the plain model that checks the rules."""
 
 import pickle
+import random
 from collections import deque
 from collections.abc import Iterable
 
@@ -135,3 +136,23 @@
         sizes.append((len(pickle.dumps(vars(module))), len(door.ids) + len(door.indices)))
     assert min(door.ids) > 9000 and len(set(door.ids)) == len(door.indices), "indices are never used again"
     assert sizes[-1][0] < 1.05 * max(one[0] for one in sizes[50:150]) and sizes[-1][1] <= sizes[60][1]
+
+
+def test_what_is_read_from_the_newest_or_kept_in_sums_is_what_a_walk_over_all_samples_gives() -> None:
+    chance, plain = random.Random(3), fleet(12, 30, 30)
+    for _ in range(60):
+        plain.run(chance.choice([S // 10, S, 3 * S]), *[
+            api.Met(chance.randrange(ZONES), chance.randrange(12), 9, chance.randrange(9), chance.randrange(S),
+                    S, ()) for _ in range(9)], *[
+            api.Usage(chance.randrange(30), READS, chance.randrange(9), 0, S) for _ in range(9)])
+        module = plain.module
+        for server in module.servers.values():
+            since, only = module.now - chance.randrange(9 * S), chance.choice([None, *range(ZONES)])
+            told = [met for at, met in server.met if at >= since and (
+                met.zone == only if only is not None else (met.zone, server.entry.zone) not in module.cut)]
+            tries, bad = sum(met.tries for met in told), sum(met.bad for met in told)
+            took = sum(met.mean_time * (met.tries - met.bad) for met in told) / max(1, tries - bad)
+            assert module.recent(server, since, only) == (tries, bad, took)
+        for proxy in module.joined.values():
+            assert (proxy.came, proxy.span) == tuple(sum(one[at] for one in proxy.usage) for at in (1, 2))
+        assert {index: proxy for users in module.users.values() for index, proxy in users.items()} == module.joined
