--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -423,6 +423,54 @@
                     *(("heard", order) for order in orders[1:]), ("settled", 1)]
 
 
+async def calls_heard(read: int | None, answered: int) -> list[str]:
+    """What a relay hears that breaks the first connection after so many bytes of the call, or of its answer;
+    two replies of two orders each are pushed."""
+    heard, broken = list[str](), False
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal broken
+        if read is not None and not broken:
+            broken = True
+            await reader.readexactly(read)
+            writer.transport.abort()
+            return
+        while line := await reader.readline():
+            heard.append(line.decode().strip())
+            writer.write(b"OK 2\r\n"[:6 if broken else answered])
+            if not broken and answered < 6:
+                broken = True
+                break
+        writer.close()
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    place = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    row = Relay(Dialler(Pool(1024, 8)), place, relay.Orders(str, ("play", "slip")), silent_book())
+    for reply in (1, 2):
+        row.push([api.Share(reply, 0, 1.0), api.Mark(reply, False)])
+    task = asyncio.create_task(row.run())
+    async with asyncio.timeout(5):
+        while row.calls:
+            await asyncio.sleep(0)
+    task.cancel()
+    row.close()
+    server.close()
+    return heard
+
+
+CALLS = ["txn put,1,0,1;fence,1,0", "txn put,2,0,1;fence,2,0"]
+
+
+@pytest.mark.parametrize("at", range(len(CALLS[0]) + 3))
+def test_a_call_that_breaks_at_any_byte_goes_out_again_before_the_next(at: int) -> None:
+    assert asyncio.run(calls_heard(at, 6)) == CALLS
+
+
+@pytest.mark.parametrize("at", range(6))
+def test_a_call_whose_answer_breaks_at_any_byte_goes_out_again_before_the_next(at: int) -> None:
+    # It may have been carried out: the same words again do no harm, other words or none would.
+    assert asyncio.run(calls_heard(None, at)) == [CALLS[0], *CALLS]
+
+
 def test_what_waits_for_a_relay_that_is_away_stays_bounded() -> None:
     orders = relay.Orders("s-{}".format, ("play",))
     calls = Relay(Dialler(Pool(64, 8)), "127.0.0.1:1", orders, silent_book())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,7 @@
 
 import pytest
 from plain import free_port
-from stage import SETTINGS, Stage, configure, launch, listing, play, server, start, until
+from stage import SETTINGS, Stage, configure, launch, listing, play, playing, server, start, until
 
 from ambershift.coordinator.program.signals import Signals
 
@@ -342,3 +342,79 @@
         assert process.returncode == 2 and len(out.splitlines()) == 1 and b"BALANCER_CONFIG" in out
     for text in (None, "{", "[]"):
         asyncio.run(act(text))
+
+
+def test_bad_input_loses_no_good_proxy_while_hundreds_join_anew(tmp_path: Path) -> None:
+    info = {**SETTINGS["family_info"], "proxies": 640, "egress_per_s": 100_000.0, "most_waiting": 200_000.0}
+
+    async def act(stage: Stage) -> None:
+        relay, discovery = stage.relay, stage.discovery
+        reader, writer = await stage.join("east")
+        for proxy in range(640):
+            relay.news(f"hello {proxy} {('east', 'west')[proxy % 2]} 2 0")
+            if proxy % 80 == 0:
+                relay.news("hello 640 east 2 1")  # Beyond the settings.
+                writer.write(b"outcomes zone=east server=s-1 tries=x failed=0 mean_ms=1 span_ms=1000\r\n")
+                writer.write(b"demand proxy=3 class=play tries=5 failed=0 span_ms=1000\r\n")
+            if proxy == 320:
+                discovery.now = {**discovery.now, "version": 9, "servers": [{"id": 5}]}  # Of the wrong kind.
+                discovery.changes.clear()
+        strangers = [await asyncio.open_connection(*stage.address) for _ in range(100)]
+        for _, stranger in strangers[::2]:
+            stranger.write(b"GET / HTTP/1.1\r\n\r\n")
+        await until(lambda: len(stage.bound()) == 640)
+        assert await stage.probe() == b"alive\r\n"
+        await until(lambda: len(stage.logged("refused")) >= 8 and len(stage.logged("unreadable")) >= 8)
+        await until(lambda: stage.logged("list_failed"))
+        discovery.now = listing(10, *(server(number) for number in range(7)))
+        await until(lambda: any("s-6" in order for order in relay.carried))
+        assert 640 not in stage.bound() and not writer.transport.is_closing() and not reader.at_eof()
+        for _, stranger in strangers:
+            stranger.close()
+    play(tmp_path, act, settings={**SETTINGS, "family_info": info})
+
+
+def test_coordinators_restarted_one_at_a_time_with_an_old_list_and_discovery_moved_break_nothing(
+        tmp_path: Path) -> None:
+    usual = listing(5, *(server(number) for number in range(6)))
+
+    async def whole() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            stages = list[Stage]()
+            for number in range(3):
+                (place := tmp_path / str(number)).mkdir()
+                stages.append(await stack.enter_async_context(playing(place, usual, usual)))
+            for stage in stages:
+                for proxy, zone in enumerate(("east", "west", "east", "west")):
+                    stage.relay.news(f"hello {proxy} {zone} 5 1")
+                await until(lambda stage=stage: len(stage.bound()) == 4)
+            for number, stage in enumerate(stages):
+                for each in stages:
+                    each.discovery.change(server(number, "draining"))
+                for each in stages:
+                    await until(lambda each=each: f"eject,s-{number}" in each.relay.carried)  # noqa: B023
+                stage.process.terminate()
+                async with asyncio.timeout(5):
+                    assert await stage.process.wait() == 0
+                # Back with the list of the beginning, in which all are ready, and with discovery elsewhere.
+                moved = await asyncio.start_server(stage.discovery.serve, "127.0.0.1", 0)
+                stack.callback(moved.close)
+                place, before = tmp_path / str(number) / "config.json", len(stage.relay.carried)
+                told, asked = json.loads(place.read_text()), len(stage.discovery.asked)
+                stage.process = await launch(place.parent)
+                log = asyncio.create_task(stage.read_log())
+                stack.callback(log.cancel)
+                await until(lambda: len(stage.discovery.asked) > asked)  # noqa: B023
+                port = moved.sockets[0].getsockname()[1]
+                place.write_text(json.dumps({**told, "discovery": f"127.0.0.1:{port}"}))
+                stage.process.send_signal(signal.SIGHUP)
+                await until(lambda: port in stage.discovery.places)  # noqa: B023
+                for gone in range(number + 1):
+                    await until(lambda: f"eject,s-{gone}" in stage.relay.carried[before:])  # noqa: B023
+                await until(lambda: all(  # noqa: B023
+                    any(order.startswith(f"attach,{proxy},") for order in stage.relay.carried[before:])  # noqa: B023
+                    for proxy in range(4)))
+            for stage in stages:
+                assert not {"uneject,s-0", "uneject,s-1", "uneject,s-2"} & set(stage.relay.carried)
+                assert not stage.logged("list_failed")
+    asyncio.run(whole())
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -142,8 +142,8 @@
     chance, plain = random.Random(3), fleet(12, 30, 30)
     for _ in range(60):
         plain.run(chance.choice([S // 10, S, 3 * S]), *[
-            api.Met(chance.randrange(ZONES), chance.randrange(12), 9, chance.randrange(9), chance.randrange(S),
-                    S, ()) for _ in range(9)], *[
+            api.Met(chance.randrange(ZONES), chance.randrange(12), 9, chance.randrange(9),
+                    chance.randrange(S), S, ()) for _ in range(9)], *[
             api.Usage(chance.randrange(30), READS, chance.randrange(9), 0, S) for _ in range(9)])
         module = plain.module
         for server in module.servers.values():
