Count a server's being gone from when the list said so, also where gone does not bind

Seen in the last read: hear_list passed over the time where gone does not bind, and a server first listed as removed had time 0, so both were let go of at the next turn. Reports that still come of them would be refused as of a server never listed, and eight such lines on end close a collector's connection. Change: the time is taken before, and a server new to us counts from now. A test fails without it in both settings.

--- a/ambershift/policy.py
+++ b/ambershift/policy.py
@@ -36,10 +36,10 @@
 
 
 class Server:
-    def __init__(self, entry: api.Entry) -> None:
+    def __init__(self, entry: api.Entry, now: int) -> None:
         self.entry = entry
         self.met: deque[tuple[int, api.Met]] = deque(maxlen=SAMPLES)
-        self.told = 0  # When the list first showed it as it is now.
+        self.told = now  # When the list first showed it as it is now.
         self.doubted = False  # Dropped by a list that doesn't bind, and nothing met bears it out.
 
 
@@ -172,7 +172,9 @@
             entries += [server.entry._replace(phase=api.Phase.GONE)
                         for index, server in self.servers.items() if index not in listed]
         for entry in entries:
-            known = self.servers.setdefault(entry.server, Server(entry))
+            known = self.servers.setdefault(entry.server, Server(entry, self.now))
+            if entry.phase != known.entry.phase:
+                known.told = self.now
             # A wrong list would strip proxies of servers at work: where gone doesn't bind, what was ready
             # stays until tries fail there; not what one just born has from an old list, nor what drained.
             if entry.phase == api.Phase.GONE not in self.binding:
@@ -182,8 +184,6 @@
                     known.entry = known.entry._replace(phase=api.Phase.GONE)
                 continue
             known.doubted = False
-            if entry.phase != known.entry.phase:
-                known.told = self.now
             if entry.since != known.entry.since:  # What the old process did says nothing of the new one.
                 self.ill.pop(entry.server, None)
                 known.met.clear()
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -156,3 +156,18 @@
         for proxy in module.joined.values():
             assert (proxy.came, proxy.span) == tuple(sum(one[at] for one in proxy.usage) for at in (1, 2))
         assert sorted(one for users in module.users.values() for one in users) == sorted(module.joined)
+
+
+@pytest.mark.parametrize("draining_alone_binds", [False, True])
+def test_a_server_is_let_go_of_only_long_after_the_list_dropped_it(draining_alone_binds: bool) -> None:
+    # Reports of a server that is not known any more are bad input, and a row of them ends a collector.
+    plain = fleet(12, 30, 30, only_draining_binds=draining_alone_binds)
+    gone = tuple(entry(i, i % ZONES, api.Phase.GONE) for i in (0, 99))  # The second was never listed before.
+    plain.listed |= {99: gone[1]}
+    plain.run(310 * S)
+    plain.run(4 * S, api.Listed(False, False, gone))
+    for _ in range(8):
+        plain.run(S, *[api.Met(0, 0, 9, 9, S, S, ())])
+    assert {0, 99} <= plain.module.servers.keys()
+    plain.run(310 * S)
+    assert not {0, 99} & plain.module.servers.keys()
