--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -393,3 +393,15 @@
     assert api.Level(2, 0, api.Again.NEVER, 0.0) in plain.orders and plain.tables[2] == {0: 1.0}
     plain.run(4 * S)
     assert set(plain.tables[2]) == {1} and not plain.stopped
+
+
+def test_a_returned_server_is_not_let_in_while_an_old_line_is_larger_than_it_stands() -> None:
+    plain = small()
+    plain.run(20 * S)
+    plain.module.lay = plain.module.shrink = lambda *_: None  # As in a full channel.
+    plain.run(S, api.Listed(False, False, (entry(0, 0, api.Phase.GONE),)))
+    plain.run(3 * S, api.Listed(False, False, (entry(0, 0, since=plain.now),)))
+    assert plain.shut == {0}
+    del plain.module.lay, plain.module.shrink
+    plain.run(3 * S)
+    assert not plain.shut
