--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -405,3 +405,11 @@
     del plain.module.lay, plain.module.shrink
     plain.run(3 * S)
     assert not plain.shut
+
+
+def test_servers_that_no_table_has_yet_do_not_wait_for_the_channel_to_be_idle() -> None:
+    plain = large(120, 140, proxies=40)
+    plain.module.usual *= 4  # Room there is, but the channel is busy: only edits may wait for it.
+    plain.module.written += 3 * plain.module.usual / 4
+    plain.run(S // 5, api.Listed(False, False, tuple(entry(i, i % 4) for i in range(120, 126))))
+    assert {i for proxy in plain.proxies for i in lines(plain, proxy)} >= set(range(120, 126))
