--- /dev/null
+++ b/ambershift/group/__init__.py
@@ -0,0 +1,1 @@
+"""Group: the shell that links members, keeps the log on disk and lets the coordinator use what is held."""
