--- a/ambershift/cli/run.py
+++ b/ambershift/cli/run.py
@@ -64,7 +64,7 @@
     from ambershift.runtime.front import RuntimeFront
     from ambershift.runtime.places import TcpPlace, UnixPlace
     from ambershift.runtime.session import Level
-    from ambershift.settings.model import duration
+    from ambershift.settings.checks import duration
     spots: list[UnixPlace | TcpPlace] = [
         UnixPlace(one.path, int(one.mode, 8), Level[one.level.upper()]) for one in runtime.socket]
     for tcp in runtime.tcp:
--- /dev/null
+++ b/ambershift/group/links/accepted.py
@@ -0,0 +1,156 @@
+"""The accepted side: judges the hello, then hands frames up, a bounded number a turn."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ipaddress
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import WSCloseCode, WSMsgType, web
+
+from ambershift.group.links.gate import Gate, refused
+from ambershift.group.links.wire import (
+    HELLO_MOST,
+    MESSAGE_MOST,
+    Close,
+    Hello,
+    Kind,
+    Role,
+    UnreadableError,
+    Welcome,
+    encode,
+    read_frame,
+    read_hello,
+)
+from ambershift.group.links.words import Above, Tally
+from ambershift.version import VERSION
+
+HELLO_WITHIN, HEARTBEAT, END_WITHIN = 2.0, 4.0, 0.3
+# Links that may be open at once beyond one a member, and counter sources among them.
+SPARE_MOST, COUNTERS_MOST = 32, 16
+# A sender of many frames gives way to the coordinator after so many bytes of one turn, or so many frames.
+FRAMES_A_TURN, BYTES_A_TURN = 16, 256 << 10
+CODES = {Close.TOO_LARGE: WSCloseCode.MESSAGE_TOO_BIG, Close.UNREADABLE: WSCloseCode.INVALID_TEXT}
+Note = Callable[..., None]
+
+
+class Acceptor:
+    def __init__(self, above: Above, tally: Tally, note: Note) -> None:
+        self.above, self.tally, self.note, self.gate = above, tally, note, Gate()
+        self.links = dict[str, web.WebSocketResponse]()
+        self.open = set[web.WebSocketResponse]()
+        self.runner: web.AppRunner | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        app = web.Application(client_max_size=HELLO_MOST)
+        app.router.add_get("/", self.serve)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=END_WITHIN)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, host, port, backlog=64).start()
+
+    async def close(self) -> None:
+        for socket in list(self.open):
+            with contextlib.suppress(TimeoutError, ConnectionError):
+                async with asyncio.timeout(END_WITHIN):
+                    await socket.close(code=WSCloseCode.GOING_AWAY, message=Close.ENDED.encode())
+        if self.runner:
+            await self.runner.cleanup()
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        if len(self.open) >= SPARE_MOST + len(self.above.mine().members):
+            self.tally.counts[Close.TOO_MANY] += 1
+            return web.Response(status=503, text=Close.TOO_MANY)
+        socket = web.WebSocketResponse(max_msg_size=MESSAGE_MOST, compress=False, heartbeat=HEARTBEAT,
+                                       timeout=END_WITHIN)
+        await socket.prepare(request)
+        self.open.add(socket)
+        try:
+            await self.speak(socket, str(request.remote or ""))
+        finally:
+            self.open.discard(socket)
+        return socket
+
+    async def speak(self, socket: web.WebSocketResponse, remote: str) -> None:
+        try:
+            async with asyncio.timeout(HELLO_WITHIN):
+                first = await socket.receive()
+            hello = read_hello(first.data if first.type is WSMsgType.BINARY else None)
+        except TimeoutError:
+            return await self.end(socket, remote, Close.SILENT, "no hello")
+        except UnreadableError as error:
+            return await self.end(socket, remote, closing(first) or Close.UNREADABLE, str(error))
+        counters = [name for name in self.links if name.startswith("counters ")]
+        answer = self.gate.judge(self.above.mine(), hello, is_loopback(remote))
+        if answer is None and hello.role == Role.COUNTERS and len(counters) >= COUNTERS_MOST:
+            answer = refused(Close.TOO_MANY, f"{COUNTERS_MOST} sources of counters are here already")
+        if answer is not None:
+            with contextlib.suppress(ConnectionError):
+                await socket.send_bytes(encode(answer))
+            return await self.end(socket, hello.name[:80], Close(answer.reason), answer.why)
+        mine = self.above.mine()
+        name = hello.name if hello.role == Role.MEMBER else f"counters {hello.name[:80]}"
+        older, self.links[name] = self.links.get(name), socket
+        if older is not None:
+            # A link may be half open for long; whoever dials anew has given it up.
+            self.tally.counts[Close.REPLACED] += 1
+            asyncio.get_running_loop().create_task(hang_up(older, Close.REPLACED))
+        try:
+            with contextlib.suppress(ConnectionError):
+                await socket.send_bytes(encode(Welcome(VERSION, mine.name, mine.incarnation)))
+                await self.read(socket, name, hello)
+        finally:
+            if self.links.get(name) is socket:
+                del self.links[name]
+
+    async def read(self, socket: web.WebSocketResponse, name: str, hello: Hello) -> None:
+        frames, size = 0, 0
+        while True:
+            message = await socket.receive()
+            if self.links.get(name) is not socket:
+                return  # What a replaced link still brings is older than what the new one does.
+            if message.type is not WSMsgType.BINARY:
+                if (reason := closing(message)) is not None:
+                    await self.end(socket, name, reason, str(message.data)[:200])
+                return
+            try:
+                kind, payload = read_frame(message.data)
+                if (kind is Kind.COUNTERS) != (hello.role == Role.COUNTERS):
+                    raise UnreadableError(f"a frame of kind {kind.name} from a link of {hello.role}")
+                if kind is Kind.COUNTERS:
+                    self.above.counters(hello.name, payload)
+                else:
+                    self.above.heard(hello.name, kind, payload)
+            except UnreadableError as error:
+                return await self.end(socket, name, Close.UNREADABLE, str(error))
+            frames, size = frames + 1, size + len(message.data)
+            if frames >= FRAMES_A_TURN or size >= BYTES_A_TURN:
+                frames, size = 0, 0
+                await asyncio.sleep(0)
+
+    async def end(self, socket: web.WebSocketResponse, who: str, reason: Close, why: str) -> None:
+        self.tally.counts[reason] += 1
+        self.note("link_closed", member=who, reason=reason.value, why=why)
+        await hang_up(socket, reason)
+
+
+async def hang_up(socket: Any, reason: Close) -> None:
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(END_WITHIN):
+            await socket.close(code=CODES.get(reason, WSCloseCode.POLICY_VIOLATION), message=reason.encode())
+
+
+def closing(message: Any) -> Close | None:
+    """By which name a message that is none ends the link; None for an ordinary end."""
+    if message.type is WSMsgType.ERROR:
+        code = getattr(message.data, "code", None)
+        return Close.TOO_LARGE if code == WSCloseCode.MESSAGE_TOO_BIG else Close.UNREADABLE
+    return Close.UNREADABLE if message.type is WSMsgType.TEXT else None
+
+
+def is_loopback(remote: str) -> bool:
+    try:
+        return ipaddress.ip_address(remote).is_loopback
+    except ValueError:
+        return False
--- /dev/null
+++ b/ambershift/group/links/gate.py
@@ -0,0 +1,60 @@
+"""The gate: whether a hello is let in, by name, group, voters and incarnation. No I/O."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ambershift.group.links.wire import WIRE, Close, Hello, Refused, Role
+
+
+class Mine(NamedTuple):
+    """What this member is at the moment; group and incarnation change while it runs."""
+
+    name: str
+    title: str
+    voters: tuple[str, ...]
+    members: frozenset[str]
+    incarnation: int
+    group: str
+
+
+class Gate:
+    """Remembers under which incarnation and run each name was let in last."""
+
+    def __init__(self) -> None:
+        self.known = dict[str, tuple[int, str]]()
+
+    def judge(self, mine: Mine, hello: Hello, loopback: bool = True) -> Refused | None:
+        """The refusal, or None; then its incarnation is the known one."""
+        if hello.wire != WIRE:
+            return refused(Close.UNREADABLE, f"wire version {hello.wire}, here it is {WIRE}")
+        if hello.title != mine.title:
+            return refused(Close.OTHER_GROUP, f"it is of group '{hello.title[:80]}', not '{mine.title}'")
+        if hello.to != mine.name:
+            return refused(Close.UNKNOWN_MEMBER, f"it wants '{hello.to[:80]}'; here is '{mine.name}'")
+        if hello.role == Role.COUNTERS:
+            if not loopback:
+                return refused(Close.UNKNOWN_MEMBER, "counters come from the same machine alone")
+            return None
+        if hello.role != Role.MEMBER or hello.name not in mine.members:
+            return refused(Close.UNKNOWN_MEMBER, f"'{hello.name[:80]}' is not among the members")
+        if tuple(sorted(hello.voters)) != tuple(sorted(mine.voters)):
+            return refused(Close.OTHER_MEMBERS, f"its voters are {', '.join(hello.voters)[:400]}; here they "
+                                                f"are {', '.join(mine.voters)}")
+        if hello.name == mine.name:
+            return refused(Close.CLONED, "this is the member's own name", mine.incarnation)
+        if hello.group and mine.group and hello.group != mine.group:
+            return refused(Close.OTHER_GROUP, f"it holds what group {hello.group[:80]} promised, not "
+                                              f"{mine.group}")
+        number, run = self.known.get(hello.name, (0, ""))
+        if hello.incarnation < number:
+            return refused(Close.SUPERSEDED, f"'{hello.name}' lives under incarnation {number}", number)
+        if hello.incarnation == number and run and run != hello.run:
+            return refused(Close.CLONED, f"another process is '{hello.name}' under incarnation {number}",
+                           number)
+        self.known[hello.name] = hello.incarnation, hello.run
+        return None
+
+
+def refused(reason: Close, why: str, known: int = 0) -> Refused:
+    return Refused(reason.value, why, known)
--- /dev/null
+++ b/ambershift/group/links/wire.py
@@ -0,0 +1,113 @@
+"""What goes over a link: the hello, its answer, and frames of one kind byte and a payload. No I/O."""
+
+from __future__ import annotations
+
+from enum import IntEnum, StrEnum
+
+import msgspec
+
+WIRE = 1
+# A message that is longer is no message of ours: the largest, a snapshot, is cut into parts far below it.
+MESSAGE_MOST = 4 << 20
+HELLO_MOST = 16_384
+
+
+class Close(StrEnum):
+    """Why a link is refused or closed. The value is the name in logs, counts and `show group`."""
+
+    UNKNOWN_MEMBER = "unknown-member"
+    OTHER_MEMBERS = "other-members"
+    OTHER_GROUP = "other-group"
+    SUPERSEDED = "superseded"
+    CLONED = "cloned"
+    UNREADABLE = "unreadable"
+    TOO_LARGE = "too-large"
+    TOO_SLOW = "too-slow"
+    TOO_MANY = "too-many"
+    SILENT = "silent"
+    REPLACED = "replaced"  # The same run has dialled anew.
+    AWAY = "away"  # Nobody answers there, or the connection broke.
+    ENDED = "ended"
+
+
+class Kind(IntEnum):
+    """What a frame holds. Numbers stay as they are."""
+
+    REPLICA = 1
+    HEARD = 2
+    COUNTERS = 3
+
+
+class Role(StrEnum):
+    MEMBER = "member"
+    COUNTERS = "counters"  # A process beside the coordinator that hands in samples.
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True):
+    """The first message of a link, before anything else. `group` is "" while the one who dials knows none;
+    `to` is whom it means to reach; `run` is random at each start."""
+
+    wire: int
+    program: str
+    role: str
+    name: str
+    to: str
+    incarnation: int
+    run: str
+    group: str
+    title: str
+    voters: tuple[str, ...]
+
+
+class Welcome(msgspec.Struct, frozen=True, tag="welcome", array_like=True):
+    program: str
+    name: str
+    incarnation: int
+
+
+class Refused(msgspec.Struct, frozen=True, tag="refused", array_like=True):
+    """`known` is the incarnation under which the name is known, 0 where that is not the point."""
+
+    reason: str
+    why: str
+    known: int = 0
+
+
+HELLO = msgspec.msgpack.Decoder(Hello)
+REPLY: msgspec.msgpack.Decoder[Welcome | Refused] = msgspec.msgpack.Decoder(Welcome | Refused)
+encode = msgspec.msgpack.encode
+
+
+class UnreadableError(Exception):
+    """Bytes that are no message of this wire."""
+
+
+def read_hello(data: object) -> Hello:
+    try:
+        if not isinstance(data, bytes) or len(data) > HELLO_MOST:
+            raise UnreadableError("no hello")
+        return HELLO.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise UnreadableError(f"no hello ({error})") from None
+
+
+def read_reply(data: object) -> Welcome | Refused:
+    try:
+        if not isinstance(data, bytes) or len(data) > HELLO_MOST:
+            raise UnreadableError("no answer to a hello")
+        return REPLY.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise UnreadableError(f"no answer to a hello ({error})") from None
+
+
+def frame(kind: Kind, payload: bytes) -> bytes:
+    return bytes((kind,)) + payload
+
+
+def read_frame(data: object) -> tuple[Kind, bytes]:
+    if not isinstance(data, bytes) or not data:
+        raise UnreadableError("an empty frame, or text")
+    try:
+        return Kind(data[0]), data[1:]
+    except ValueError:
+        raise UnreadableError(f"a frame of kind {data[0]}") from None
--- a/ambershift/settings/model.py
+++ b/ambershift/settings/model.py
@@ -11,18 +11,18 @@
 
 from __future__ import annotations
 
-import ipaddress
 import re
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
 import msgspec
 
+from ambershift.settings.checks import Complaint, duration, split, taken
+from ambershift.settings.group import Group, check_group
 from ambershift.settings.tree import Block, SettingsError, Value, parse
 
 LevelName = Literal["user", "operator", "admin"]
-UNITS_NS = {"ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
 FILE_MOST = 1 << 20
 
 
@@ -59,10 +59,11 @@
 
     runtime: Runtime = Runtime()
     log: Log = Log()
+    group: Group | msgspec.UnsetType = msgspec.UNSET
 
 
 # Blocks with a label: the key that the label stands for. All other blocks stand once, without labels.
-LABELLED = {"runtime.socket": "path", "runtime.tcp": "address"}
+LABELLED = {"runtime.socket": "path", "runtime.tcp": "address", "group.member": "name"}
 
 
 def read_file(path: str) -> Root:
@@ -135,9 +136,6 @@
     return found
 
 
-Complaint = Callable[[str, str], SettingsError]
-
-
 def check(root: Root, complain: Complaint) -> None:
     """What types alone don't tell."""
     places = dict[str, str]()
@@ -155,32 +153,7 @@
     if duration(root.runtime.timeout) is None:
         raise complain("runtime.timeout", f"'{root.runtime.timeout}' is no time such as \"500ms\", \"60s\" "
                                           f"or \"5m\"")
-
-
-def taken(places: dict[str, str], place: str, key: str, complain: Complaint) -> None:
-    if place in places:
-        raise complain(key, f"'{place}' is {places[place]} already")
-    places[place] = key
-
-
-def split(address: str, key: str, complain: Complaint) -> tuple[str, int]:
-    host, colon, port = address.rpartition(":")
-    if not colon or not port.isascii() or not port.isdigit() or not 0 < int(port) < 1 << 16:
-        raise complain(key, f"'{address}' is no address of the form 127.0.0.1:9999")
-    try:
-        loopback = ipaddress.IPv4Address(host).is_loopback
-    except ValueError:
-        raise complain(key, f"'{host}' is no IPv4 address; names are not looked up") from None
-    if not loopback:
-        # There is no password and no TLS on it, as HAProxy's has none: the machine's border is the guard.
-        raise complain(key, f"'{host}' is not a loopback address, and the API has no guard of its own")
-    return host, int(port)
-
-
-def duration(text: str) -> int | None:
-    """Nanoseconds, from 1 ms to a day; None for what is no such time."""
-    found = re.fullmatch(r"([0-9]{1,9})(ms|s|m|h)", text)
-    if not found:
-        return None
-    value = int(found[1]) * UNITS_NS[found[2]]
-    return value if 0 < value <= 24 * UNITS_NS["h"] else None
+    if isinstance(root.group, Group):
+        check_group(root.group, complain)
+        host, port = split(root.group.listen, "group.listen", complain)
+        taken(places, f"{host}:{port}", "group.listen", complain)
