Apply wishes, agreements and permits as one state machine on the log

The shell needs the machine that the log is applied to. State is one persistent value, so that whoever reads holds a whole one. Wishes are merged as at the desk: its rule moved to admin/wants.py, which both use.

A grant stands only on the last entry that touched permits; a move only if its own permit is unchanged, so that several moves judged by one state all stand. Move gets done, to tell a wave that was broken off from one that had its time. Commands of newer kinds are kept and answered 'unknown'.

Ruled out: a based_on per permit in Move, which would have made the leader track two numbers.

--- a/ambershift/admin/desk.py
+++ b/ambershift/admin/desk.py
@@ -18,6 +18,7 @@
 from ambershift.admin.overlay import effective, warms_at
 from ambershift.admin.pace import Pace
 from ambershift.admin.pending import Told, Waiting, drained, stage
+from ambershift.admin.wants import wanted, weighable
 from ambershift.admin.words import (
     AS_LISTED,
     Accepted,
@@ -26,12 +27,9 @@
     Reason,
     Refused,
     Stage,
-    Standing,
 )
 from ambershift.admin.world import EMPTY, World
 
-# HAProxy's bounds: 0 to 256, of the listed weight 0 to 100 percent.
-WEIGHT_MOST, PART_MOST = 256.0, 1.0
 # Wishes that may be on their way at once. Beyond it the relay has been away for long, or somebody scripts
 # badly.
 WAITING_MOST = 20_000
@@ -124,8 +122,7 @@
         for change in changes:
             if change.server not in world.listed:
                 return Refused(Reason.NO_SUCH_SERVER, change.server)
-            most = PART_MOST if change.weight and change.weight.relative else WEIGHT_MOST
-            if change.weight and not 0 <= change.weight.figure <= most:
+            if not weighable(change):
                 return Refused(Reason.WEIGHT_OUT_OF_RANGE, change.server)
             old = world.wish(change.server)
             new = wanted(old, change)
@@ -255,17 +252,3 @@
     """Whether the first, told after the second, takes something away from proxies."""
     return known.phase == api.Phase.READY and (
         entry.phase != api.Phase.READY or entry.weight < known.weight)
-
-
-def wanted(old: Standing, change: Change) -> Standing:
-    """What stands after a change. Ready takes back drain and maintenance, as in HAProxy, but no weight."""
-    new = old
-    if change.state is not None:
-        new = new._replace(state=change.state)
-    if change.health is not None:
-        new = new._replace(health=change.health)
-    if change.weight is not None:
-        new = new._replace(weight=change.weight)
-    if change.as_listed:
-        new = new._replace(weight=None)
-    return new
--- /dev/null
+++ b/ambershift/promises/machine.py
@@ -0,0 +1,197 @@
+"""The state machine on the log of a group: wishes, what is declared, permits. The same on every member."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from rpds import HashTrieMap
+
+from ambershift.admin.wants import wanted, weighable
+from ambershift.admin.words import AS_LISTED, NEVER, Change, Health, Origin, Reason, State, Weight
+from ambershift.maintenance.words import Phase, Refusal
+from ambershift.promises.answers import (
+    COMMAND_MOST,
+    Outcome,
+    Why,
+    decode,
+    encode_answer,
+    refused,
+)
+from ambershift.promises.state import EMPTY, Held, Kept, Past, Promises, pack, unpack
+from ambershift.promises.words import Command, Declare, Grant, Move, Nothing, Wishes, WishOne
+from ambershift.replication.words import Entry
+
+WISHES_MOST = 20_000  # As many as the desk lets wait; a fleet has fewer servers.
+KEPT_MOST = 256
+
+# Asked by the leader alone, before it writes: the desk's own guards, say. None: it may stand.
+Guard = Callable[[Promises, int, Command], Outcome | None]
+
+
+class PromisesMachine:
+    """Implements `replication.words.Machine`."""
+
+    def __init__(self, guard: Guard | None = None) -> None:
+        self.guard = guard
+
+    def initial(self) -> Promises:
+        return EMPTY
+
+    def judge(self, state: Promises, at: int, command: bytes) -> bytes | None:
+        read = decode(command)
+        if read is None:
+            return encode_answer(unread(command))
+        _, outcome = carry_out(state, 0, at, read)
+        if outcome.done and self.guard is not None:
+            # What changes nothing needs no guard: repeated, it answers as it did the first time.
+            changes = bool(outcome.changed) or not isinstance(read, Wishes)
+            outcome = (self.guard(state, at, read) if changes else None) or outcome
+        return None if outcome.done else encode_answer(outcome)
+
+    def apply(self, state: Promises, entry: Entry) -> tuple[Promises, bytes]:
+        command = decode(entry.command)
+        if command is None:
+            kept = (*state.kept, Kept(entry.number, entry.at, entry.command))[-KEPT_MOST:]
+            state = state._replace(kept=kept, unread=state.unread + 1)
+            return state, encode_answer(unread(entry.command))
+        state, outcome = carry_out(state, entry.number, entry.at, command)
+        return state, encode_answer(outcome)
+
+    def pack(self, state: Promises) -> bytes:
+        return pack(state)
+
+    def unpack(self, data: bytes) -> Promises:
+        return unpack(data)
+
+
+def unread(command: bytes) -> Outcome:
+    if len(command) > COMMAND_MOST:
+        return refused(Why.TOO_LARGE, f"{len(command)} bytes; a command has {COMMAND_MOST} at most")
+    return refused(Why.UNKNOWN, "this program can't read it; a newer one may")
+
+
+def carry_out(state: Promises, number: int, at: int, command: Command) -> tuple[Promises, Outcome]:
+    """What an entry makes of a state; where it is refused, the state stays."""
+    match command:
+        case Wishes():
+            return wish(state, at, command)
+        case Declare():
+            return declare(state, number, command)
+        case Grant():
+            return grant(state, number, command)
+        case Move():
+            return move(state, number, command)
+        case Nothing():
+            return state, Outcome(True)
+
+
+def change_of(one: WishOne) -> Change | None:
+    """As the desk reads it, without the server; None for what no program of ours makes."""
+    try:
+        state = None if one.state is None else State(one.state)
+        health = None if one.health is None else Health(one.health)
+    except ValueError:
+        return None
+    change = Change(-1, state, health, None if one.weight is None else Weight(*one.weight), one.as_listed)
+    return change if one.server else None
+
+
+def wish(state: Promises, at: int, command: Wishes) -> tuple[Promises, Outcome]:
+    wishes, origin = state.wishes, Origin(command.who, at, state.commands + 1)
+    for one in command.changes:
+        change = change_of(one)
+        if change is None:
+            return state, refused(Why.BAD_WISH, f"no wish that a server can have: {one!r:.200}")
+        if not weighable(change):
+            return state, refused(Reason.WEIGHT_OUT_OF_RANGE, one.server)
+        old = wishes.get(one.server, AS_LISTED)
+        # The same wish again is no change: a command sent twice acts once.
+        if (new := wanted(old, change)) != old:
+            wishes = wishes.insert(one.server, new._replace(origin=origin))
+    named = dict.fromkeys(one.server for one in command.changes)
+    changed = tuple(server for server in named
+                    if wishes.get(server, AS_LISTED)._replace(origin=NEVER)
+                    != state.wish(server)._replace(origin=NEVER))
+    for server in named:
+        old = state.wish(server)
+        new = wishes.get(server, AS_LISTED) if server in changed else old
+        # Ids come and go for years; what wants nothing is not held.
+        bare = new._replace(origin=NEVER) == AS_LISTED
+        wishes = wishes.discard(server) if bare else wishes.insert(server, new)
+    if not changed:
+        return state, Outcome(True, number=state.commands)
+    if len(wishes) > WISHES_MOST:
+        return state, refused(Why.TOO_MANY_WISHES, f"{WISHES_MOST} servers at most have a wish of their own")
+    state = state._replace(wishes=wishes, commands=state.commands + 1)
+    return state, Outcome(True, number=state.commands, changed=changed)
+
+
+def declare(state: Promises, number: int, command: Declare) -> tuple[Promises, Outcome]:
+    new, old = command.declared, state.declared
+    if new == old:
+        return state, Outcome(True)
+    if new.revision < old.revision:
+        return state, refused(Why.OLDER_REVISION, f"revision {old.revision} stands, {new.revision} is older")
+    if new.revision == old.revision:
+        return state, refused(Why.OTHER_CONTENTS, f"revision {old.revision} stands with other contents; "
+                                                  "give the new ones a higher one")
+    works = {work.name for work in new.works}
+    past: HashTrieMap[tuple[str, str], Past] = HashTrieMap(
+        {key: one for key, one in state.past.items() if key[0] in works})
+    return state._replace(declared=new, past=past, permits_touched=number), Outcome(True)
+
+
+def grant(state: Promises, number: int, command: Grant) -> tuple[Promises, Outcome]:
+    """Of two leaders that judged by the same state, the second finds it changed."""
+    if command.based_on != state.permits_touched:
+        return state, refused(Refusal.CHANGED_MEANWHILE, f"judged by entry {command.based_on}, "
+                                                         f"{state.permits_touched} came since")
+    works = {work.name: work for work in state.declared.works}
+    taken = {held.permit.server for held in state.permits.values()}
+    permits, past = state.permits, state.past
+    for permit in command.permits:
+        if permit.work not in works or permit.server not in works[permit.work].servers:
+            return state, refused(Why.NO_SUCH_WORK, f"{permit.work}/{permit.server}")
+        if permit.server in taken or permit.id in permits:
+            return state, refused(Refusal.ALREADY_OUT, permit.server)
+        if permit.phase is not Phase.DRAINING or permit.ends <= permit.granted:
+            return state, refused(Why.PHASE, f"{permit.id} does not begin with draining, or has ended")
+        taken.add(permit.server)
+        permits = permits.insert(permit.id, Held(permit, number, False))
+        before = past.get((permit.work, permit.server), Past(0, False))
+        past = past.insert((permit.work, permit.server), before._replace(tries=before.tries + 1))
+    if not command.permits:
+        return state, Outcome(True)
+    changed = tuple(permit.id for permit in command.permits)
+    return (state._replace(permits=permits, past=past, permits_touched=number),
+            Outcome(True, changed=changed))
+
+
+def move(state: Promises, number: int, command: Move) -> tuple[Promises, Outcome]:
+    held = state.permits.get(command.permit)
+    if held is None:
+        return state, refused(Why.NO_SUCH_PERMIT, command.permit)
+    permit = held.permit
+    if held.number > command.based_on:
+        return state, refused(Refusal.CHANGED_MEANWHILE, f"judged by entry {command.based_on}, "
+                                                         f"{held.number} changed it since")
+    if command.phase < permit.phase:
+        return state, refused(Why.PHASE, f"{permit.id} is {permit.phase.name.lower()} already")
+    done = held.done or command.done
+    if command.phase is Phase.CLOSED:
+        key, permits = (permit.work, permit.server), state.permits.remove(permit.id)
+        past = state.past
+        if any(work.name == permit.work for work in state.declared.works):
+            before = past.get(key, Past(1, False))
+            past = past.insert(key, before._replace(done=before.done or done))
+        state = state._replace(permits=permits, past=past, permits_touched=number)
+        return state, Outcome(True, changed=(permit.id,))
+    # A later phase has no end of its own: it counts until it is closed.
+    ends = permit.ends if command.phase is Phase.RETURNING else command.ends
+    moved = msgspec.structs.replace(permit, phase=command.phase, ends=ends)
+    if moved == permit and done == held.done:
+        return state, Outcome(True)
+    state = state._replace(permits=state.permits.insert(permit.id, Held(moved, number, done)),
+                           permits_touched=number)
+    return state, Outcome(True, changed=(permit.id,))
--- /dev/null
+++ b/ambershift/promises/state.py
@@ -0,0 +1,120 @@
+"""All that the log of a group has made, as one value, and how it is packed for a snapshot."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import msgspec
+from rpds import HashTrieMap
+
+from ambershift.admin.words import AS_LISTED, Health, Origin, Standing, State, Weight
+from ambershift.maintenance.words import Declared, Permit, Phase
+
+VERSION = 1
+NOTHING_DECLARED = Declared(0, (), ())
+
+
+class UnreadableStateError(ValueError):
+    """A packed state that is torn, or of a newer program; nothing of it is taken."""
+
+
+class Held(NamedTuple):
+    """An open permit; `number` is the entry that changed it last, `done` whether the work had its time."""
+
+    permit: Permit
+    number: int
+    done: bool
+
+
+class Past(NamedTuple):
+    """What became of one server of a work: how often it was tried, and whether the work was done there."""
+
+    tries: int
+    done: bool
+
+
+class Kept(msgspec.Struct, frozen=True, array_like=True):
+    """A command that this program can't read, as it stood in the log."""
+
+    number: int
+    at: int
+    command: bytes
+
+
+class Promises(NamedTuple):
+    """Whoever holds one sees no later change. Servers that stand as listed have no wish here."""
+
+    wishes: HashTrieMap[str, Standing]
+    declared: Declared
+    permits: HashTrieMap[str, Held]  # The open ones, by id.
+    past: HashTrieMap[tuple[str, str], Past]  # By work and server, of the works declared.
+    permits_touched: int  # The number of the last entry that touched permits or what is declared.
+    commands: int  # Operators' commands that changed something.
+    kept: tuple[Kept, ...]  # The last ones that could not be read.
+    unread: int  # How many there were.
+
+    def wish(self, server: str) -> Standing:
+        return self.wishes.get(server, AS_LISTED)
+
+    def kept_out(self, at: int) -> dict[str, Permit]:
+        """The servers that permits keep out for a member whose wall clock shows `at`, in the order of their
+        ids. The operator's word counts beside it: whichever is stricter holds."""
+        found = {held.permit.server: held.permit for held in self.permits.values()
+                 if held.permit.phase <= Phase.OUT and at < held.permit.ends}
+        return dict(sorted(found.items()))
+
+    def next_end(self, at: int) -> int | None:
+        """When the next of them ends by that clock."""
+        return min((held.permit.ends for held in self.permits.values()
+                    if held.permit.phase <= Phase.OUT and at < held.permit.ends), default=None)
+
+
+EMPTY = Promises(HashTrieMap(), NOTHING_DECLARED, HashTrieMap(), HashTrieMap(), 0, 0, (), 0)
+
+
+class Packed(msgspec.Struct, frozen=True, array_like=True):
+    version: int
+    wishes: list[tuple[str, int, int, tuple[float, bool] | None, tuple[str, int, int]]]
+    declared: Declared
+    permits: list[tuple[Permit, int, bool]]
+    past: list[tuple[str, str, int, bool]]
+    permits_touched: int
+    commands: int
+    kept: tuple[Kept, ...]
+    unread: int
+
+
+DECODER = msgspec.msgpack.Decoder(Packed)
+
+
+def pack(state: Promises) -> bytes:
+    """The same bytes on every member for the same state."""
+    wishes = [(server, int(wish.state), int(wish.health),
+               None if wish.weight is None else (wish.weight.figure, wish.weight.relative),
+               (wish.origin.who, wish.origin.at, wish.origin.number))
+              for server, wish in sorted(state.wishes.items())]
+    permits = [(held.permit, held.number, held.done) for _, held in sorted(state.permits.items())]
+    past = [(*key, one.tries, one.done) for key, one in sorted(state.past.items())]
+    return msgspec.msgpack.encode(Packed(
+        VERSION, wishes, state.declared, permits, past, state.permits_touched, state.commands, state.kept,
+        state.unread))
+
+
+def unpack(data: bytes) -> Promises:
+    try:
+        version: Any = msgspec.msgpack.decode(data)[0]
+    except (msgspec.MsgspecError, TypeError, LookupError) as error:
+        raise UnreadableStateError(f"no packed state ({error})") from None
+    if version != VERSION:
+        raise UnreadableStateError(f"packed by version {version!r:.20}, this program reads {VERSION}")
+    try:
+        packed = DECODER.decode(data)
+        wishes = {server: Standing(State(state), Health(health), weight and Weight(*weight), Origin(*origin))
+                  for server, state, health, weight, origin in packed.wishes}
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise UnreadableStateError(str(error)) from None
+    return Promises(
+        HashTrieMap(wishes), packed.declared,
+        HashTrieMap({permit.id: Held(permit, number, done) for permit, number, done in packed.permits}),
+        HashTrieMap({(work, server): Past(tries, done) for work, server, tries, done in packed.past}),
+        packed.permits_touched, packed.commands, packed.kept, packed.unread)
--- a/ambershift/promises/words.py
+++ b/ambershift/promises/words.py
@@ -42,12 +42,17 @@
 
 
 class Move(msgspec.Struct, frozen=True, tag="move", array_like=True):
-    """A permit goes on to a later phase, or gets a later end; CLOSED gives it back."""
+    """A permit goes on to a later phase, or gets another end; CLOSED gives it back.
+
+    It stands if the permit itself has not changed since `based_on`, so that moves of several permits that
+    were judged by one state all stand. `done` says, on the way to RETURNING, that the work has had its time.
+    """
 
     based_on: int
     permit: str
     phase: Phase
     ends: int
+    done: bool = False
 
 
 class Nothing(msgspec.Struct, frozen=True, tag="nothing", array_like=True):
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,177 @@
+"""The state machine of the group's log: the same on every member, whatever stands in an entry."""
+
+import random
+
+import msgspec
+import pytest
+
+from ambershift.admin.words import AS_LISTED, NEVER, Health, State, Weight
+from ambershift.maintenance.words import Agreement, Declared, Permit, Phase, Refusal, Tenant, Work
+from ambershift.promises.answers import Outcome, Why, decode, encode, read_answer, refused
+from ambershift.promises.machine import KEPT_MOST, WISHES_MOST, PromisesMachine
+from ambershift.promises.state import EMPTY, Promises, UnreadableStateError, pack, unpack
+from ambershift.promises.words import Command, Declare, Grant, Move, Nothing, Wishes, WishOne
+from ambershift.replication.words import Entry
+
+WORK = Work("kernel", ("a", "b", "c"), 600, 10_000, 0)
+
+
+def declared(revision: int = 1, works: tuple[Work, ...] = (WORK,)) -> Declared:
+    return Declared(revision, (Tenant("games", (), (), (), Agreement(2.0, 1, 0, ()), ()),), works)
+
+
+def permit(server: str, tries: int = 1, ends: int = 700) -> Permit:
+    return Permit(f"kernel/{server}/{tries}", "kernel", server, Phase.DRAINING, 100, ends, ("games",), 1.0)
+
+
+class Log:
+    def __init__(self, state: Promises = EMPTY) -> None:
+        self.machine, self.state, self.entries = PromisesMachine(), state, list[Entry]()
+
+    def write(self, command: Command | bytes) -> Outcome:
+        data = command if isinstance(command, bytes) else encode(command)
+        number = len(self.entries) + 1
+        self.entries.append(Entry(1, number, number * 1000, "", data))
+        self.state, answer = self.machine.apply(self.state, self.entries[-1])
+        return read_answer(answer)
+
+
+def wishes(*changes: WishOne) -> Wishes:
+    return Wishes("cli", "text", changes)
+
+
+def test_wishes_stand_as_at_the_desk_with_who_when_and_which() -> None:
+    log = Log()
+    assert log.write(wishes(WishOne("a", 2), WishOne("b", weight=(0.5, True)))) == Outcome(
+        True, number=1, changed=("a", "b"))
+    assert log.state.wish("a").origin == ("cli", 1000, 1) and log.state.wish("b").weight == Weight(0.5, True)
+    before = log.state
+    assert log.write(wishes(WishOne("a", 2))) == Outcome(True, number=1)  # Again: no change, no new origin.
+    assert log.state == before
+    # All of its changes or none.
+    assert log.write(wishes(WishOne("a", 0), WishOne("b", weight=(1.5, True)))).reason \
+        == "weight-out-of-range" and log.state == before
+    assert log.write(wishes(WishOne("a", 0), WishOne("a", 2), WishOne("c", 1))).changed == ("c",)
+    assert log.state.wish("a").origin.number == 1
+    assert log.write(wishes(WishOne("b", as_listed=True))).changed == ("b",) and "b" not in log.state.wishes
+    assert before.wish("c") == AS_LISTED  # Whoever holds a state sees no later change.
+    for bad in (WishOne("a", 9), WishOne("a", health=7), WishOne("", 1)):
+        assert log.write(wishes(bad)).reason == Why.BAD_WISH
+    assert log.write(wishes(WishOne("a", weight=(float("nan"), False)))).reason == "weight-out-of-range"
+    many = wishes(*[WishOne(f"s{i}", 1) for i in range(WISHES_MOST)])
+    assert log.write(many).reason == Why.TOO_MANY_WISHES
+
+
+def test_declared_goes_up_and_the_same_revision_has_one_meaning() -> None:
+    log = Log()
+    assert log.write(Declare(declared(2))).done and log.state.permits_touched == 1
+    assert log.write(Declare(declared(2))).done and log.state.permits_touched == 1
+    assert log.write(Declare(declared(1))).reason == Why.OLDER_REVISION
+    assert log.write(Declare(declared(2, ()))).reason == Why.OTHER_CONTENTS
+    assert log.write(Grant(1, (permit("a"),))).done and log.write(
+        Move(5, "kernel/a/1", Phase.CLOSED, 0, True)).done
+    assert log.state.past["kernel", "a"] == (1, True)
+    assert log.write(Declare(declared(3, ()))).done and not len(log.state.past)
+
+
+def test_of_two_leaders_that_judged_by_one_state_one_is_refused() -> None:
+    log = Log()
+    log.write(Declare(declared()))
+    assert log.write(Grant(1, (permit("a"),))).changed == ("kernel/a/1",)
+    assert log.write(Grant(1, (permit("b"),))).reason == Refusal.CHANGED_MEANWHILE
+    assert log.write(Grant(2, (permit("a", 2),))).reason == Refusal.ALREADY_OUT
+    assert log.write(Grant(2, (permit("b"), permit("b")))).reason == Refusal.ALREADY_OUT
+    assert log.write(Grant(2, (permit("z"),))).reason == Why.NO_SUCH_WORK
+    assert log.write(Grant(2, (permit("b", ends=100),))).reason == Why.PHASE
+    assert log.write(Grant(2, (permit("b"),))).done
+    # Moves of two permits judged by one state both stand; two of the same permit do not.
+    based = log.state.permits_touched
+    assert log.write(Move(based, "kernel/a/1", Phase.OUT, 900)).done
+    assert log.write(Move(based, "kernel/b/1", Phase.OUT, 900)).done
+    assert log.write(Move(based, "kernel/a/1", Phase.RETURNING, 0)).reason == Refusal.CHANGED_MEANWHILE
+    based = log.state.permits_touched
+    assert log.write(Move(based, "kernel/a/1", Phase.DRAINING, 900)).reason == Why.PHASE
+    assert log.write(Move(based, "kernel/a/1", Phase.RETURNING, 0, True)).done
+    assert log.state.kept_out(899) == {"b": log.state.permits["kernel/b/1"].permit}
+    assert log.state.kept_out(900) == {} and log.state.next_end(899) == 900
+    assert log.write(Move(log.state.permits_touched, "kernel/a/1", Phase.CLOSED, 0)).done
+    assert log.state.past["kernel", "a"] == (1, True) and log.state.past["kernel", "b"] == (1, False)
+    assert log.write(Move(99, "kernel/a/1", Phase.CLOSED, 0)).reason == Why.NO_SUCH_PERMIT
+
+
+def test_newer_and_torn_commands_are_kept_and_answered_never_raised() -> None:
+    log, rng = Log(), random.Random(1)
+    newer = msgspec.msgpack.encode(["later-kind", 1, {"x": 2}])
+    assert log.write(newer).reason == Why.UNKNOWN and log.state.kept[0].command == newer
+    longer = msgspec.msgpack.encode(["nothing", "a field of a newer program"])
+    assert log.write(longer).done
+    whole = encode(Declare(declared()))
+    for _ in range(2000):
+        torn = bytearray(whole[:rng.randrange(len(whole) + 1)])
+        for _ in range(rng.randrange(3)):
+            if torn:
+                torn[rng.randrange(len(torn))] = rng.randrange(256)
+        log.write(bytes(torn))
+    assert log.write(bytes(2 << 20)).reason == Why.TOO_LARGE
+    assert len(log.state.kept) == KEPT_MOST < log.state.unread
+    assert read_answer(b"\xc1").reason == Why.UNKNOWN
+
+
+def some_command(rng: random.Random, state: Promises) -> Command:
+    based = state.permits_touched - (rng.random() < 0.2)
+    held = [one.permit.id for one in state.permits.values()] or ["none"]
+    match rng.randrange(5):
+        case 0:
+            return wishes(*[WishOne(rng.choice("abc"), rng.choice([None, 0, 1, 2]), rng.choice([None, 0, 2]),
+                                    rng.choice([None, (0.5, True), (300.0, False), (3.0, False)]),
+                                    rng.random() < 0.3) for _ in range(rng.randint(0, 3))])
+        case 1:
+            return Declare(declared(rng.randrange(1, 4), (WORK,) * rng.randrange(1, 3)))
+        case 2:
+            return Grant(based, tuple(permit(rng.choice("abc"), rng.randrange(9))
+                                      for _ in range(rng.randint(0, 2))))
+        case 3:
+            return Move(based, rng.choice(held), Phase(rng.randrange(4)), rng.randrange(2000),
+                        rng.random() < 0.5)
+    return Nothing()
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_every_member_makes_the_same_of_the_same_log_through_snapshots(seed: int) -> None:
+    rng, log, other = random.Random(seed), Log(), Log()
+    for _ in range(120):
+        command = some_command(rng, log.state)
+        known = log.machine.judge(log.state, 0, encode(command))
+        outcome = log.write(command)
+        assert (known is None) == outcome.done and (known is None or read_answer(known) == outcome)
+        assert other.write(command) == outcome
+        if rng.random() < 0.2:
+            other.state = unpack(pack(other.state))
+        assert pack(log.state) == pack(other.state) and log.state == other.state
+        assert not any(wish._replace(origin=NEVER) == AS_LISTED for wish in log.state.wishes.values())
+        servers = [held.permit.server for held in log.state.permits.values()]
+        assert len(set(servers)) == len(servers)
+
+
+def test_a_guard_is_asked_at_the_leader_only_and_not_for_what_changes_nothing() -> None:
+    asked = list[Command]()
+
+    def guard(state: Promises, at: int, command: Command) -> Outcome | None:
+        asked.append(command)
+        return refused("zone-without-warm-server", "b")
+
+    machine, command = PromisesMachine(guard), wishes(WishOne("b", 1, int(Health.UP)))
+    answer = machine.judge(EMPTY, 5, encode(command))
+    assert answer is not None and read_answer(answer).reason == "zone-without-warm-server"
+    state, told = machine.apply(EMPTY, Entry(1, 1, 5, "", encode(command)))
+    assert read_answer(told).done and state.wish("b").state is State.DRAIN and asked == [command]
+    assert machine.judge(state, 6, encode(command)) is None and asked == [command]
+    assert decode(encode(command)) == command
+
+
+def test_a_packed_state_of_another_version_or_torn_is_refused_by_name() -> None:
+    whole = pack(EMPTY)
+    for bad in (b"", b"\x01", whole[:-1], msgspec.msgpack.encode([2, "later"]), msgspec.msgpack.encode({})):
+        with pytest.raises(UnreadableStateError):
+            unpack(bad)
+    assert unpack(whole) == EMPTY
