Let the desk adopt what a group has promised, and judge apart from taking

A command is weighed by a function of a world, so that the leader of a group can ask it for the wishes that its log holds, committed or not. Adopted wishes are not refused; what a permit keeps out counts as maintenance, the stricter word holds, and lender and heir rules see both.

--- a/ambershift/admin/coverage.py
+++ b/ambershift/admin/coverage.py
@@ -117,8 +117,8 @@
         world = self.keep(world, now)
         if any(available(world.listed[server], self.warmth, now) for server in world.lent):
             return world
-        kept_out = [server for server, wish in world.standing.items()
-                    if wish.severity and there(world.listed[server]) and server not in world.lent]
+        kept_out = [server for server in world.wished() if world.wish(server).severity
+                    and there(world.listed[server]) and server not in world.lent]
         warm = [server for server in kept_out if available(world.listed[server], self.warmth, now)]
         if not warm and (world.lent or any(map(partial(starts, world), world.listed))):
             return world  # Cold ones are at work, each with its part; more of them only in need.
@@ -136,7 +136,7 @@
 
     def next_at(self, world: World, now: int) -> int | None:
         """When to look again though nothing comes: a lent server may go back, or a cold one turn warm."""
-        if not world.standing:
+        if not world.standing and not world.permitted:
             return None
         if world.lent and self.covered_since is not None:
             return self.covered_since + LENT_SPELL
--- a/ambershift/admin/desk.py
+++ b/ambershift/admin/desk.py
@@ -6,19 +6,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from typing import NamedTuple
+from collections.abc import Mapping, Sequence
 
 from rpds import HashTrieMap
 
 from ambershift import interface as api
-from ambershift.admin.coverage import Lender, Warmth, heir_is_away, uncovered
+from ambershift.admin.coverage import Lender, Warmth, heir_is_away
 from ambershift.admin.ledger import Ledger
-from ambershift.admin.mirror import NEVER_SHUT, Mirror, Picture
-from ambershift.admin.overlay import effective, warms_at
+from ambershift.admin.mirror import NEVER_SHUT, Mirror
+from ambershift.admin.overlay import effective, lower, warms_at
 from ambershift.admin.pace import Pace
 from ambershift.admin.pending import Told, Waiting, drained, stage
-from ambershift.admin.wants import wanted, weighable
+from ambershift.admin.view import View
+from ambershift.admin.weigh import weigh
 from ambershift.admin.words import (
     AS_LISTED,
     Accepted,
@@ -27,6 +27,7 @@
     Reason,
     Refused,
     Stage,
+    Standing,
 )
 from ambershift.admin.world import EMPTY, World
 
@@ -37,20 +38,6 @@
 SWEEP_EVERY = 50_000_000
 
 
-class View(NamedTuple):
-    """One whole state at one time; whoever holds it sees no later change."""
-
-    now: int
-    version: int
-    world: World
-    picture: Picture
-    waiting: Waiting
-
-    def stage(self, server: int) -> Stage | None:
-        told = self.waiting.get(server)
-        return None if told is None else stage(self.picture, server, told)
-
-
 class Desk:
     def __init__(self, cold: int, report_period: int) -> None:
         self.warmth, self.period = Warmth(cold), report_period
@@ -61,6 +48,8 @@
         self.warming = dict[int, int]()  # Servers that get a larger weight once warm, and when.
         self.swept_at = 0
         self.urgent = set[int]()  # Lent or taken back, and not told yet.
+        self.ahead = dict[int, Standing]()  # Wishes of a group for servers that are not listed yet.
+        self.permits = dict[int, int]()  # Kept out by a group's permits, and until when.
         self.commands, self.version, self.stopping, self.now = 0, 0, False, 0
 
     # What comes from the coordinator
@@ -68,13 +57,19 @@
     def listed(self, now: int, event: api.Listed) -> api.Listed:
         """The list as the module shall see it, with those that are lent or taken back because of it."""
         named = {entry.server for entry in event.entries}
-        world = self.relend(self.world.with_list(event.whole, event.entries), now)
+        world = self.world.with_list(event.whole, event.entries)
+        for server in [one for one in self.ahead if one in world.listed]:
+            world = world.with_wish(server, self.ahead.pop(server))
+            self.waiting = self.waiting.insert(server, Told(now))
+        if self.permits:
+            world = world.with_permits(self.permits, now)
+        world = self.relend(world, now)
         self.set_world(world)
         self.pace.held.clear()
         touched, self.urgent = self.urgent, set()
         # Gone by a whole list, yet kept out by an operator: named still, so that the module keeps it out.
         if event.whole:
-            touched |= {server for server, wish in world.standing.items() if wish.out}
+            touched |= {server for server in world.wished() if world.wish(server).out}
         entries = [self.tell(server, now) for server in (*(one.server for one in event.entries),
                                                          *sorted(touched - named))]
         return event._replace(entries=tuple(entries))
@@ -106,11 +101,7 @@
         if not changed:
             return Accepted(self.commands, ())
         self.commands += 1
-        for server in changed:
-            self.pace.note(server, now)
-            told = self.waiting.get(server)
-            scaled = told.scaled if told else False
-            self.waiting = self.waiting.insert(server, Told(told.at if told else now, scaled=scaled))
+        self.take_up(now, changed)
         self.ledger.note(now, "command", who, text)
         self.set_world(self.relend(world, now))
         return Accepted(self.commands, changed)
@@ -118,25 +109,48 @@
     def judge(self, now: int, who: str, changes: Sequence[Change]) -> tuple[World, tuple[int, ...]] | Refused:
         if self.stopping:
             return Refused(Reason.STOPPING)
-        world, changed, origin = self.world, dict[int, None](), Origin(who, now, self.commands + 1)
-        for change in changes:
-            if change.server not in world.listed:
-                return Refused(Reason.NO_SUCH_SERVER, change.server)
-            if not weighable(change):
-                return Refused(Reason.WEIGHT_OUT_OF_RANGE, change.server)
-            old = world.wish(change.server)
-            new = wanted(old, change)
-            # The same wish again is no change: a command sent twice acts once.
-            if new != old:
-                world = world.with_wish(change.server, new._replace(origin=origin))
-                changed[change.server] = None
-        servers = tuple(one for one in changed
-                        if world.wish(one)._replace(origin=AS_LISTED.origin)
-                        != self.world.wish(one)._replace(origin=AS_LISTED.origin))
-        if len(self.waiting) + len(servers) > WAITING_MOST < len(self.sweep(now)) + len(servers):
+        outcome = weigh(self.world, changes, Origin(who, now, self.commands + 1), self.warmth, now)
+        if isinstance(outcome, Refused):
+            return outcome
+        count = len(outcome[1])
+        if len(self.waiting) + count > WAITING_MOST < len(self.sweep(now)) + count:
             return Refused(Reason.TOO_MANY_WAIT)
-        refused = uncovered(self.world, world, servers, self.warmth, now)
-        return refused or (world, servers)
+        return outcome
+
+    # What a group has promised: nothing of it is refused here, that was the leader's to do
+
+    def adopt(self, now: int, wishes: Mapping[int, Standing], who: str, text: str) -> tuple[int, ...]:
+        """Take over wishes that stand; those for servers that are not listed yet wait until they are."""
+        world, changed = self.world, list[int]()
+        for server, wish in wishes.items():
+            if server not in world.listed:
+                self.ahead[server] = wish
+            elif (old := world.own(server)) != wish:
+                world = world.with_wish(server, wish)
+                if old._replace(origin=wish.origin) != wish:
+                    changed.append(server)
+        if changed:
+            self.commands += 1
+            self.ledger.note(now, "command", who, text)
+        self.take_up(now, changed)
+        self.set_world(self.relend(world, now))
+        return tuple(changed)
+
+    def permit(self, now: int, until: Mapping[int, int]) -> None:
+        """Keep these out as under maintenance, each until its end by this desk's clock, and no others."""
+        self.permits = dict(until)
+        world = self.world.with_permits(self.permits, now)
+        self.take_up(now, [server for server in {*world.permitted, *self.world.permitted}
+                           if world.wish(server) != self.world.wish(server)])
+        self.set_world(self.relend(world, now))
+
+    def take_up(self, now: int, servers: Sequence[int]) -> None:
+        """What is wanted of these is another now, and on its way."""
+        for server in servers:
+            self.pace.note(server, now)
+            told = self.waiting.get(server)
+            scaled = told.scaled if told else False
+            self.waiting = self.waiting.insert(server, Told(told.at if told else now, scaled=scaled))
 
     # What is told to the module, and when
 
@@ -144,12 +158,14 @@
         """When `due` wants to be called; None: not before something comes."""
         self.now = now
         times = [self.pace.next_at(), self.lender.next_at(self.world, now), now if self.urgent else None,
-                 min(self.warming.values(), default=None)]
+                 min(self.warming.values(), default=None), min(self.world.permitted.values(), default=None)]
         return min((at for at in times if at is not None), default=None)
 
     def due(self, now: int) -> api.Listed | None:
         """The entries, as the list has them, of all servers that the module must hear of anew."""
         self.now = now
+        if any(until <= now for until in self.world.permitted.values()):
+            self.permit(now, {server: until for server, until in self.permits.items() if until > now})
         self.set_world(self.relend(self.world, now))
         # What is lent waits for nothing: without it proxies have no line to pick.
         due = dict.fromkeys(sorted(self.urgent))
@@ -246,9 +262,3 @@
                 self.ledger.note(now, "returned", "desk", f"server {server}")
                 self.urgent.add(server)
         return after
-
-
-def lower(entry: api.Entry, known: api.Entry) -> bool:
-    """Whether the first, told after the second, takes something away from proxies."""
-    return known.phase == api.Phase.READY and (
-        entry.phase != api.Phase.READY or entry.weight < known.weight)
--- a/ambershift/admin/overlay.py
+++ b/ambershift/admin/overlay.py
@@ -35,3 +35,9 @@
     if wish.weight is None or warmth.warm(entry, now) or wish.weight.of(entry.weight) <= entry.weight:
         return None
     return warmth.warm_at(entry)
+
+
+def lower(entry: api.Entry, known: api.Entry) -> bool:
+    """Whether the first, told after the second, takes something away from proxies."""
+    return known.phase == api.Phase.READY and (
+        entry.phase != api.Phase.READY or entry.weight < known.weight)
--- a/ambershift/admin/world.py
+++ b/ambershift/admin/world.py
@@ -6,26 +6,40 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from rpds import HashTrieMap, HashTrieSet
 
 from ambershift import interface as api
-from ambershift.admin.words import AS_LISTED, Standing
+from ambershift.admin.words import AS_LISTED, Origin, Standing, State
 
 
 class World(NamedTuple):
-    """`lent` holds the servers that serve against the operator's word, and since when."""
+    """`lent` holds the servers that serve against the operator's word, and since when; `permitted` those that
+    a group's permits keep out, and until when."""
 
     listed: HashTrieMap[int, api.Entry]
     zones: HashTrieMap[int, HashTrieSet[int]]
     standing: HashTrieMap[int, Standing]
     lent: HashTrieMap[int, int]
+    permitted: HashTrieMap[int, int]
 
-    def wish(self, server: int) -> Standing:
+    def own(self, server: int) -> Standing:
+        """The operator's word alone."""
         return self.standing.get(server, AS_LISTED)
 
+    def wish(self, server: int) -> Standing:
+        """The operator's word and a permit's: the stricter holds."""
+        wish = self.standing.get(server, AS_LISTED)
+        if self.permitted and server in self.permitted and wish.state is not State.MAINT:
+            return wish._replace(state=State.MAINT, origin=PERMIT)
+        return wish
+
+    def wished(self) -> set[int]:
+        """All of which something is wanted."""
+        return {*self.standing, *self.permitted}
+
     def members(self, zone: int) -> Iterable[int]:
         return self.zones.get(zone, EMPTY_ZONE)
 
@@ -48,9 +62,15 @@
                     listed = listed.insert(server, entry._replace(phase=api.Phase.GONE))
         return self._replace(listed=listed, zones=zones)
 
+    def with_permits(self, until: Mapping[int, int], now: int) -> World:
+        """Those that are listed and whose end is to come, in place of all before."""
+        permitted = {server: at for server, at in until.items() if at > now and server in self.listed}
+        return self if permitted == dict(self.permitted) else self._replace(permitted=HashTrieMap(permitted))
+
     def with_wish(self, server: int, wish: Standing) -> World:
         return self._replace(standing=self.standing.insert(server, wish))
 
 
 EMPTY_ZONE: HashTrieSet[int] = HashTrieSet()
-EMPTY = World(HashTrieMap(), HashTrieMap(), HashTrieMap(), HashTrieMap())
+PERMIT = Origin("permit", 0, 0)
+EMPTY = World(HashTrieMap(), HashTrieMap(), HashTrieMap(), HashTrieMap(), HashTrieMap())
--- a/ambershift/modelcheck/mutants.py
+++ b/ambershift/modelcheck/mutants.py
@@ -12,7 +12,7 @@
 from unittest import mock
 
 from ambershift import interface as api
-from ambershift.admin import coverage, desk, pace
+from ambershift.admin import coverage, desk, pace, weigh
 from ambershift.admin.words import Stage
 from ambershift.attempt.machine import Attempt, Evidence
 from ambershift.coordinator.protocol import relay as codec
@@ -463,7 +463,7 @@
         "admin",
         "an-accepted-command-is-never-lost",
         "the last server may be taken away",
-        desk,
+        weigh,
         "uncovered",
         refuses_nothing,
     ),
--- a/ambershift/promises/machine.py
+++ b/ambershift/promises/machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from hashlib import sha256
 
 import msgspec
 from rpds import HashTrieMap
@@ -19,7 +20,7 @@
     refused,
 )
 from ambershift.promises.state import EMPTY, Held, Kept, Past, Promises, pack, unpack
-from ambershift.promises.words import Command, Declare, Grant, Move, Nothing, Wishes, WishOne
+from ambershift.promises.words import Answered, Command, Declare, Grant, Move, Nothing, Wishes, WishOne
 from ambershift.replication.words import Entry
 
 WISHES_MOST = 20_000  # As many as the desk lets wait; a fleet has fewer servers.
@@ -42,6 +43,8 @@
         read = decode(command)
         if read is None:
             return encode_answer(unread(command))
+        if isinstance(read, Answered):
+            return None  # A refusal that shall be written is not refused itself.
         _, outcome = carry_out(state, 0, at, read)
         if outcome.done and self.guard is not None:
             # What changes nothing needs no guard: repeated, it answers as it did the first time.
@@ -58,6 +61,11 @@
         state, outcome = carry_out(state, entry.number, entry.at, command)
         return state, encode_answer(outcome)
 
+    def digest(self, command: bytes) -> bytes:
+        """Of the text alone where there is one: who asked, and what a name meant then, may differ."""
+        read = decode(command)
+        return sha256(read.text.encode() if isinstance(read, Wishes | Answered) else command).digest()[:16]
+
     def pack(self, state: Promises) -> bytes:
         return pack(state)
 
@@ -82,6 +90,8 @@
             return grant(state, number, command)
         case Move():
             return move(state, number, command)
+        case Answered():
+            return state, refused(command.reason, command.answer)
         case Nothing():
             return state, Outcome(True)
 
--- a/ambershift/promises/words.py
+++ b/ambershift/promises/words.py
@@ -61,6 +61,7 @@
     `text` is that of the refused `Wishes`, and its digest the same."""
 
     text: str
+    reason: str
     answer: str
 
 
--- a/ambershift/runtime/changes.py
+++ b/ambershift/runtime/changes.py
@@ -4,7 +4,7 @@
 
 import re
 
-from ambershift.admin.desk import View
+from ambershift.admin.view import View
 from ambershift.admin.wants import PART_MOST, WEIGHT_MOST
 from ambershift.admin.words import Change, Health, Reason, Refused, State, Weight
 from ambershift.runtime.scene import Scene
--- a/ambershift/runtime/execute.py
+++ b/ambershift/runtime/execute.py
@@ -9,8 +9,8 @@
 import orjson
 
 from ambershift import interface as api
-from ambershift.admin.desk import View
 from ambershift.admin.ledger import Record, Reused
+from ambershift.admin.view import View
 from ambershift.admin.words import Change, Refused
 from ambershift.runtime import catalogue, show
 from ambershift.runtime.catalogue import Kind
--- a/ambershift/runtime/scene.py
+++ b/ambershift/runtime/scene.py
@@ -6,8 +6,9 @@
 from typing import NamedTuple
 
 from ambershift import interface as api
-from ambershift.admin.desk import Desk, View
+from ambershift.admin.desk import Desk
 from ambershift.admin.overlay import effective
+from ambershift.admin.view import View
 from ambershift.admin.words import State
 from ambershift.door import Door
 from ambershift.terms import Names
--- a/ambershift/runtime/show.py
+++ b/ambershift/runtime/show.py
@@ -8,8 +8,8 @@
 import orjson
 
 from ambershift import interface as api
-from ambershift.admin.desk import View
 from ambershift.admin.mirror import NEVER_SHUT, NOTHING_MET
+from ambershift.admin.view import View
 from ambershift.admin.words import Health, Stage, State
 from ambershift.runtime.scene import Scene
 
