--- /dev/null
+++ b/tests/test_group_disk.py
@@ -0,0 +1,296 @@
+"""A member's folder: what was told as synced is there after any crash, or it is set aside by name."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import subprocess
+import sys
+import threading
+from collections.abc import Callable
+
+import msgspec
+import pytest
+from simdisk import CrashError, SimFiles
+
+from ambershift.group.disk import folder as folders
+from ambershift.group.disk.files import LockedError, RealFiles
+from ambershift.group.disk.folder import DiskError, Folder, Opened, RefusedError
+from ambershift.group.disk.worker import Disk
+from ambershift.replication import records
+from ambershift.replication.vouched import ContradictionError, Held
+from ambershift.replication.words import Entry, Snapshot, Write
+
+Spoil = Callable[[dict[str, bytearray]], None]
+WALL = 1_800_000_000_000_000_000
+
+
+def entries(first: int, last: int, view: int = 1) -> tuple[Entry, ...]:
+    return tuple(Entry(view, i, i * 7, f"t{i}", bytes([i % 251]) * (i % 40)) for i in range(first, last + 1))
+
+
+def write(ticket: int, view: int = 1, new: tuple[Entry, ...] = (), cut: int = 0, committed: int = 0,
+          snapshot: Snapshot | None = None) -> Write:
+    return Write(ticket, "g1", 5, view, view, committed, new, cut, snapshot)
+
+
+BATCHES = [
+    [write(1, new=entries(1, 2))],
+    [write(2, new=entries(3, 3)), write(3, committed=2), write(4, new=entries(4, 9))],
+    [write(5, view=2, new=entries(7, 8, 2), cut=7)],
+    [write(6, view=2, new=entries(9, 12, 2), committed=8)],
+    [write(7, view=2, snapshot=Snapshot(8, 2, b"state" * 9, (("t8", b"d", b"a"),)), committed=9)],
+    [write(8, view=3, committed=9), write(9, view=3, new=entries(13, 13, 3))],
+    [write(10, view=4, snapshot=Snapshot(20, 4, b"all", ()), new=entries(21, 22, 4), committed=21)],
+    [write(11, view=4, new=entries(23, 30, 4))],
+]
+WRITES = [one for batch in BATCHES for one in batch]
+
+
+def folded(count: int) -> Held:
+    held = Held()
+    for one in WRITES[:count]:
+        held.fold(records.line(one))
+    return held
+
+
+STATES = [folded(count).saved(0) for count in range(len(WRITES) + 1)]
+
+
+class Run:
+    """The workload, with a new start in its middle, until something breaks it off."""
+
+    def __init__(self, files: SimFiles) -> None:
+        self.files, self.acked, self.tried, self.broken, self.started = files, 0, 0, False, 0
+        try:
+            folder = Folder(files, "archive", "n1")
+            self.started = folder.open(WALL).incarnation
+            for at, batch in enumerate(BATCHES):
+                if at == 4:
+                    folder.close()
+                    folder = Folder(files, "archive", "n1")
+                    self.started = folder.open(WALL + 1).incarnation
+                self.tried += len(batch)
+                folder.append(batch)
+                self.acked = self.tried
+        except (CrashError, DiskError):
+            self.broken = True
+            if not files.crash_at:
+                with pytest.raises(DiskError):  # Not taken back by itself.
+                    folder.append([WRITES[0]])
+
+    def held(self, opened: Opened) -> int:
+        """How many of the writes the folder holds."""
+        saved = opened.saved and msgspec.structs.replace(opened.saved, incarnation=0)
+        return max(count for count, one in enumerate(STATES) if one == saved)
+
+
+def reopened(files: SimFiles) -> Opened:
+    return Folder(files, "archive", "n1").open(WALL + 2)
+
+
+CALLS = Run(SimFiles()).files.calls
+
+
+@pytest.mark.parametrize("keep", [0.0, 0.5, 0.8, 1.0])
+def test_after_a_crash_at_any_call_all_that_was_told_as_synced_is_there(keep: float) -> None:
+    torn = 0
+    for at in range(1, CALLS + 1):
+        for seed in range(1 if keep in (0.0, 1.0) else 40):
+            run = Run(SimFiles(seed * 1000 + at, crash_at=at))
+            assert run.broken
+            left = run.files.after(keep)
+            opened = reopened(left)
+            assert opened.fault is None and not opened.aside, (at, seed, opened)
+            assert run.acked <= run.held(opened) <= run.tried, (at, seed)
+            assert opened.incarnation > run.started
+            torn += opened.torn > 0
+            # A second crash while the first is mended.
+            again = left.after(0.5)
+            twice = reopened(again)
+            assert twice.fault is None and run.acked <= run.held(twice) <= run.tried, (at, seed)
+    assert keep in (0.0, 1.0) or torn > 50
+
+
+def test_a_crash_while_a_folder_is_opened_after_a_crash_loses_nothing() -> None:
+    for at in range(1, CALLS + 1):
+        run = Run(SimFiles(at, crash_at=at))
+        for second in range(1, 14):
+            left = run.files.after(0.6)
+            left.crash_at = left.calls + second
+            try:
+                reopened(left)
+            except CrashError:
+                opened = reopened(left.after(0.6))
+                assert opened.fault is None and run.acked <= run.held(opened) <= run.tried, (at, second)
+
+
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
+def test_a_failed_call_is_never_taken_back(code: int) -> None:
+    for at in range(1, CALLS + 1):
+        for keep in (0.0, 0.5, 1.0):
+            run = Run(SimFiles(at, fail_at=at, code=code))
+            assert run.broken, at
+            for left in (run.files, run.files.after(keep)):  # The program starts anew, or the machine does.
+                left.fail_at = 0
+                opened = reopened(left)
+                assert opened.fault is None and run.acked <= run.held(opened) <= run.tried, (at, keep)
+
+
+def damaged(change: Spoil, crash: int = 0, keep: float = 1.0) -> tuple[Run, Opened]:
+    run = Run(SimFiles(3, crash_at=crash))
+    left = run.files.after(keep)
+    change({name: left.table[name].seen for name in left.table})
+    before = {bytes(left.table[name].seen) for name in ("log", "mark") if name in left.table}
+    opened = reopened(left)
+    kept = {bytes(inode.seen) for inode in left.table.values()}
+    assert opened.fault is None or before <= kept, "something was deleted or written over"
+    assert (opened.fault is None) == (not opened.aside) and (opened.saved is None) >= bool(opened.fault)
+    return run, opened
+
+
+def test_a_flipped_bit_or_a_cut_of_what_was_synced_is_never_silent() -> None:
+    seen = dict.fromkeys(records.Fault, 0)
+    for name in ("log", "mark"):
+        size = len(SimFiles.read(Run(SimFiles()).files, name))
+        for at in range(size if name == "log" else 80):
+            for change in ("flip", "cut", "zero"):
+                for crash in (0, CALLS - 1, CALLS - 3):  # Whole; its last mark, its last append torn.
+                    def spoil(files: dict[str, bytearray], change: str = change, at: int = at,
+                              name: str = name) -> None:
+                        if change == "cut":
+                            del files[name][at:]
+                        elif at < len(files[name]):
+                            files[name][at] ^= 1 << at % 8 if change == "flip" else files[name][at]
+                    run, opened = damaged(spoil, crash, 0.5)
+                    assert opened.fault or run.held(opened) >= run.acked, (name, at, change, crash)
+                    if opened.fault:
+                        seen[opened.fault] += 1
+    assert all(seen[one] for one in (records.Fault.EMPTY, records.Fault.SHORT, records.Fault.FLIPPED,
+                                     records.Fault.UNMARKED, records.Fault.FOREIGN)), seen
+
+
+def test_other_files_are_set_aside_by_name() -> None:
+    newer = records.preamble(99, 0, records.VERSION + 1)
+    older = bytes(Run(SimFiles(crash_at=CALLS - 12)).files.table["log"].seen)
+
+    def torn(files: dict[str, bytearray]) -> None:
+        log = records.preamble(99, 0)
+        for body in (b"\x93\xa7archive\xa2n1\x05", b"\x90"):
+            log += records.frame(body, 99, len(log))
+        files["log"][:] = log
+
+    cases: dict[records.Fault, Spoil] = {
+        records.Fault.NEWER: lambda files: files["log"].__setitem__(slice(None), newer),
+        records.Fault.FOREIGN: lambda files: files["log"].__setitem__(slice(None), b"[settings]\nno log\n"),
+        records.Fault.BEHIND: lambda files: files["log"].__setitem__(slice(None), older),
+        records.Fault.CONTRADICTS: torn,
+    }
+    for fault, change in cases.items():
+        _, opened = damaged(change)
+        assert opened.fault is fault and opened.saved is None, (fault, opened)
+        assert all(f"-{fault.value}" in name and "20270115T080000Z" in name for name in opened.aside)
+
+
+def test_a_lost_log_a_void_folder_and_names_already_taken() -> None:
+    files = Run(SimFiles()).files
+    del files.table["log"]
+    assert reopened(files).fault is records.Fault.MISSING
+    for count in (2, 3):
+        opened = Folder(files, "archive", "n1").open(WALL, "old-folder")
+        assert opened.saved is None and opened.fault is None and opened.incarnation > WALL
+        assert sum("old-folder" in name for name in files.table) == 2 * count - 2, opened
+    for group, me in (("archive", "n2"), ("other", "n1")):
+        names = dict(files.table)
+        with pytest.raises(RefusedError):
+            Folder(files, group, me).open(WALL)
+        assert files.table == names
+
+
+def test_a_gap_in_the_numbers_fails_the_disk_and_a_log_grows_no_further_than_so_many_times(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(folders, "LOG_LEAST", 1000)
+    folder = Folder(SimFiles(), "archive", "n1")
+    folder.open(WALL)
+    for at in range(400):
+        folder.append([write(at, committed=at)])
+    assert folder.end < 1100
+    with pytest.raises(DiskError, match="entry 3 where 1 belongs"):
+        folder.append([write(401, new=entries(3, 3))])
+    with pytest.raises(ContradictionError):
+        folded(2).fold(records.line(write(1, new=entries(5, 5), cut=2)))
+
+
+class Heard:
+    def __init__(self) -> None:
+        self.told: list[int | str] = []
+        self.change = asyncio.Event()
+
+    def synced(self, ticket: int) -> None:
+        self.told.append(ticket)
+        self.change.set()
+
+    def failed(self, reason: str) -> None:
+        self.told.append(reason)
+        self.change.set()
+
+    async def until(self, last: int | str) -> None:
+        while last not in self.told:
+            self.change.clear()
+            await asyncio.wait_for(self.change.wait(), 20)
+
+
+def test_the_thread_shares_syncs_tells_in_order_and_keeps_all(tmp_path: object) -> None:
+    async def scene() -> None:
+        folder = Folder(RealFiles(f"{tmp_path}/n1"), "archive", "n1")
+        assert folder.open(WALL) == Opened(None, WALL, None, "", (), 0)
+        heard = Heard()
+        disk = Disk(folder, heard, asyncio.get_running_loop())
+        for one in WRITES:
+            disk.write(one)
+        disk.start()
+        await heard.until(11)
+        assert disk.syncs == 1 and disk.close() and heard.told == [11]
+        again = Folder(RealFiles(f"{tmp_path}/n1"), "archive", "n1").open(WALL)
+        assert again.saved is not None and again.saved.entries == entries(21, 30, 4)
+        assert again.incarnation == WALL + 1
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize("full", [False, True])
+def test_a_failed_or_hanging_disk_is_told_once_and_nothing_after(full: bool) -> None:
+    async def scene() -> None:
+        files, hold = SimFiles(), threading.Event()
+        folder, heard = Folder(files, "archive", "n1"), Heard()
+        folder.open(WALL)
+        disk = Disk(folder, heard, asyncio.get_running_loop(), queue_most=4)
+        if full:
+            inner = folder.append
+            folder.append = lambda writes: (hold.wait(20), inner(writes))[1]  # type: ignore[method-assign]
+        else:
+            files.fail_at, files.code = files.calls + 1, errno.ENOSPC
+        disk.start()
+        for at in range(1, 12 if full else 2):
+            disk.write(write(at, committed=at))
+        hold.set()
+        await heard.until("it is too slow: 4 writes wait" if full else "write (errno 28)")
+        disk.write(write(12))
+        assert disk.close()
+        await asyncio.sleep(0)
+        assert len(heard.told) == 1
+
+    asyncio.run(scene())
+
+
+def test_two_processes_can_not_have_one_folder(tmp_path: object) -> None:
+    mine = RealFiles(f"{tmp_path}/n1")
+    Folder(mine, "archive", "n1").open(WALL)
+    code = ("from ambershift.group.disk.files import RealFiles, LockedError\n"
+            "try: RealFiles({0!r}).lock(); print('open')\nexcept LockedError as e: print('locked')")
+    ask = [sys.executable, "-c", code.format(f"{tmp_path}/n1")]
+    assert subprocess.run(ask, capture_output=True, text=True, check=True).stdout == "locked\n"
+    with pytest.raises(LockedError):
+        Folder(RealFiles(f"{tmp_path}/n1"), "archive", "n1").open(WALL)
+    mine.unlock()
+    assert subprocess.run(ask, capture_output=True, text=True, check=True).stdout == "open\n"
