--- a/ambershift/replication/vouched.py
+++ b/ambershift/replication/vouched.py
@@ -108,7 +108,7 @@
                 head = msgspec.msgpack.decode(one.body, type=Head)
             else:
                 held.fold(msgspec.msgpack.decode(one.body, type=Line))
-        except (msgspec.MsgspecError, ContradictionError) as error:
+        except (msgspec.MsgspecError, ValueError, ContradictionError) as error:
             why = f"byte {one.at}: {error}"
             return Reading(Fault.CONTRADICTS, why, head, Held(), newest, 0, latest.turn)
     raise AssertionError("frames always end with where they stopped")
--- a/tests/test_group_disk.py
+++ b/tests/test_group_disk.py
@@ -166,6 +166,15 @@
                     assert opened.fault or run.held(opened) >= run.acked, (name, at, change, crash)
                     if opened.fault:
                         seen[opened.fault] += 1
+    # And wherever the machine ended: what a log's name rests on was synced before its first mark.
+    for crash in range(1, CALLS + 1):
+        for seed in range(24):
+            def flip(files: dict[str, bytearray], seed: int = seed, crash: int = crash) -> None:
+                if log := files.get("log"):
+                    log[(seed * len(log) // 24 + crash % 5) % len(log)] ^= 4
+            run, opened = damaged(flip, crash, seed % 3 / 2)
+            assert opened.fault or run.held(opened) >= run.acked, (crash, seed)
+    assert not seen[records.Fault.NEWER]
     assert all(seen[one] for one in (records.Fault.EMPTY, records.Fault.SHORT, records.Fault.FLIPPED,
                                      records.Fault.UNMARKED, records.Fault.FOREIGN)), seen
 
