--- /dev/null
+++ b/ambershift/replication/birth.py
@@ -0,0 +1,132 @@
+"""Blank voters: whether the group is to be born, or lives and is to be recovered from.
+
+Birth needs a moment at which all voters were blank. Each round asks all; the next starts when one is
+complete, and who answers blank in both under the same incarnation was blank in between.
+"""
+
+from __future__ import annotations
+
+from ambershift.replication.core import Core, Fetching
+from ambershift.replication.leading import start_leading
+from ambershift.replication.messages import Ask, Blank, Told
+from ambershift.replication.words import Reason, Status
+
+
+def others(core: Core) -> list[str]:
+    return [name for name in core.fixed.voters if name != core.fixed.me]
+
+
+def ask(core: Core, now: int) -> None:
+    if core.status is not Status.BLANK or not core.fixed.votes or now < core.ask_at:
+        return
+    core.ask_at = now + core.fixed.timing.ask
+    if not others(core):
+        be_born(core, now, core.all_lives())
+        return
+    if core.fetching is not None:
+        return
+    core.round = core.round or 1
+    for name in others(core):
+        core.send(name, Ask(incarnation=core.incarnation, view=0, round=core.round, voters=core.fixed.voters))
+
+
+def on_ask(core: Core, now: int, sender: str, message: Ask) -> None:
+    if message.voters != core.fixed.voters:
+        strange(core, sender, "voters")
+        return
+    if core.status is Status.BLANK and core.fixed.votes:
+        core.send(sender, Blank(incarnation=core.incarnation, view=0, asked=message.incarnation,
+                                round=message.round))
+    elif core.status is Status.NORMAL and core.fixed.votes:
+        core.vouch(sender, Told(incarnation=core.incarnation, view=core.view, asked=message.incarnation,
+                                round=message.round, group=core.group, number=core.log.top,
+                                lives=core.all_lives(), birth=core.birth, rows=core.all_rows()))
+
+
+def strange(core: Core, sender: str, what: str) -> None:
+    """Another group, or another idea of who votes. One such is left alone; a majority means that it is me."""
+    if sender in core.fixed.voters and sender not in core.strangers:
+        core.strangers[sender] = what
+        core.note("group-stranger", member=sender, what=what)
+    if len(core.strangers) >= core.fixed.majority:
+        reason = Reason.OTHER_MEMBERS if what == "voters" else Reason.OTHER_GROUP
+        core.halt(reason, f"{', '.join(sorted(core.strangers))} tell another {what}")
+
+
+def on_blank(core: Core, now: int, sender: str, message: Blank) -> None:
+    if core.status is not Status.BLANK or message.asked != core.incarnation or message.round != core.round:
+        return
+    before = core.blank_before.get(sender)
+    if core.blank_before and before != message.incarnation:  # Started anew: no such moment yet.
+        core.blank_before, core.blank_now = {}, {}
+    core.blank_now[sender] = message.incarnation
+    if len(core.blank_now) < len(core.fixed.voters) - 1:
+        return
+    if core.blank_before:
+        be_born(core, now, tuple(sorted({**core.blank_now, core.fixed.me: core.incarnation}.items())))
+        return
+    core.blank_before, core.blank_now = core.blank_now, {}
+    core.round += 1
+    core.ask_at = now
+    ask(core, now)
+
+
+def be_born(core: Core, now: int, birth: tuple[tuple[str, int], ...]) -> None:
+    """From here on a member of the new group, with an empty log, in view 0."""
+    core.note("group-born", members=[name for name, _ in birth])
+    core.birth = birth
+    core.learn_lives(birth)
+    core.told.clear()
+    core.blank_before, core.blank_now = {}, {}
+    core.status, core.view, core.sure = Status.NORMAL, 0, 0
+    core.leader_heard = now
+    if core.leader == core.fixed.me:
+        start_leading(core, now)
+
+
+def on_told(core: Core, now: int, sender: str, message: Told) -> None:
+    """f + 1 answers of members at work, and the leader of the newest view among them."""
+    if core.status is not Status.BLANK or message.asked != core.incarnation or not core.fixed.votes:
+        return
+    core.learn_lives(message.lives)
+    core.learn_rows(message.rows)
+    if core.status is not Status.BLANK:  # Halted by what it learnt.
+        return
+    if (core.fixed.me, core.incarnation) in message.birth:
+        # It was blank at that moment and has been since: as good as one that was born then, and is slow.
+        be_born(core, now, message.birth)
+        return
+    core.blank_before, core.blank_now = {}, {}
+    if message.incarnation == core.lives.get(sender):
+        core.told[sender] = message.incarnation, message.view, message.number, message.lives
+    if core.fetching is not None:
+        return
+    counted = crash_consistent(core)
+    if len(counted) < core.fixed.majority:
+        return
+    view = max(core.told[name][1] for name in counted)
+    leader = core.leader_of(view)
+    if leader in counted and core.told[leader][1] == view:
+        core.fetching = Fetching(leader, view, "recover", core.told[leader][2], 0, 0, b"")
+
+
+def crash_consistent(core: Core) -> list[str]:
+    """Without answers of which another knows that who gave it has been started anew since (Michael, Ports,
+    Sharma, Szekeres 2017)."""
+    return [name for name, (incarnation, _, _, _) in sorted(core.told.items())
+            if incarnation == core.lives.get(name)]
+
+
+def recovered(core: Core, now: int, view: int) -> None:
+    core.note("group-recovered", view=view, number=core.log.top, leader=core.leader_of(view))
+    core.told.clear()
+    core.status, core.view = Status.NORMAL, view
+    core.leader_heard = now
+
+
+def start_again(core: Core) -> None:
+    """Whom it recovered from has gone on to another view or away."""
+    core.fetching = None
+    core.sure = core.committed
+    core.told.clear()
+    core.round += 1
--- /dev/null
+++ b/ambershift/replication/following.py
@@ -0,0 +1,158 @@
+"""Following a leader: beats, entries, and taking over what is missing, in pieces."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ambershift.replication.birth import recovered, start_again, strange
+from ambershift.replication.core import Core, Fetching
+from ambershift.replication.leading import answer_older, start_leading
+from ambershift.replication.messages import Beat, Chunk, Fetch, Have, Prepare
+from ambershift.replication.views import follow
+from ambershift.replication.words import Entry, Snapshot, Status
+
+
+def from_leader(core: Core, now: int, sender: str, view: int, group: str) -> bool:
+    """Whether this is from the leader of my view, to which I may just have come."""
+    if sender != core.leader_of(view):
+        return False
+    if group and core.group and group != core.group:
+        strange(core, sender, "group")
+        return False
+    if core.status is Status.BLANK and core.fixed.votes:
+        return False
+    if view < core.view:
+        answer_older(core, sender)
+        return False
+    if view > core.view or core.status is not Status.NORMAL:
+        follow(core, now, view)
+    core.leader_heard = now
+    return True
+
+
+def on_beat(core: Core, now: int, sender: str, message: Beat) -> None:
+    if message.voters != core.fixed.voters:
+        strange(core, sender, "voters")
+        return
+    if not from_leader(core, now, sender, message.view, message.group):
+        return
+    core.learn_rows(message.rows)
+    if core.status is not Status.NORMAL:
+        return
+    core.commit_to(message.committed)
+    have(core, message.round)
+    if core.sure < message.top:
+        fetch(core, now, sender)
+
+
+def on_prepare(core: Core, now: int, sender: str, message: Prepare) -> None:
+    if not from_leader(core, now, sender, message.view, message.group):
+        return
+    if not in_order(message.after, message.entries):
+        core.note("group-unfit", member=sender)
+        return
+    if message.after <= core.sure or core.log.view_at(message.after) == message.after_view:
+        core.append(message.entries)
+        core.sure = max(core.sure, message.after + len(message.entries))
+        core.commit_to(message.committed)
+        have(core, 0)
+    else:
+        fetch(core, now, sender)
+
+
+def in_order(after: int, entries: tuple[Entry, ...]) -> bool:
+    views = [entry.view for entry in entries]
+    return views == sorted(views) and all(entry.number == after + 1 + at for at, entry in enumerate(entries))
+
+
+def have(core: Core, round_: int) -> None:
+    """Vouch for what is on the disk; what is not yet is vouched for once it is."""
+    number = core.vouched
+    if number >= 0 and core.status is Status.NORMAL and not core.leading:
+        core.send(core.leader, Have(incarnation=core.incarnation, view=core.view, round=round_, number=number,
+                                    committed=core.committed, status=core.status.value))
+
+
+def fetch(core: Core, now: int, source: str) -> None:
+    if core.fetching is None:
+        core.fetching = Fetching(source, core.view, "follow", 0, 0, 0, b"")
+        keep_fetching(core, now)
+
+
+def keep_fetching(core: Core, now: int) -> None:
+    """Ask for the next piece, or once more for one that has not come."""
+    task = core.fetching
+    if task is None or (task.at and now < task.at + core.fixed.timing.fetch):
+        return
+    if task.then == "recover" and task.at:
+        start_again(core)  # Each time anew: its leader may be gone.
+        return
+    core.fetching = task._replace(at=now)
+    after = core.sure
+    core.send(task.source, Fetch(incarnation=core.incarnation, view=task.view, after=after,
+                                 snapshot=task.snapshot, offset=len(task.data)))
+
+
+def on_fetch(core: Core, now: int, sender: str, message: Fetch) -> None:
+    """Only the leader's log is the view's, and that of a voter for a view that has not begun."""
+    if message.view != core.view or not (core.leading or core.status is Status.CHANGING):
+        return
+    after, timing = message.after, core.fixed.timing
+    if after >= core.log.base:
+        entries = core.log.after(after, timing.chunk_bytes) if after < core.log.top else ()
+        core.send(sender, Chunk(incarnation=core.incarnation, view=core.view, group=core.group, after=after,
+                                entries=entries, top=core.log.top, committed=core.committed, snapshot=0,
+                                offset=0, total=0, data=b""))
+        return
+    assert core.snapshot is not None
+    data = core.packed()
+    offset = message.offset if message.snapshot == core.snapshot.number else 0
+    core.send(sender, Chunk(incarnation=core.incarnation, view=core.view, group=core.group, after=after,
+                            entries=(), top=core.log.top, committed=core.committed,
+                            snapshot=core.snapshot.number, offset=offset, total=len(data),
+                            data=data[offset:offset + timing.chunk_bytes]))
+
+
+def on_chunk(core: Core, now: int, sender: str, message: Chunk) -> None:
+    task = core.fetching
+    if task is None or sender != task.source or message.view != task.view:
+        return
+    if message.snapshot:
+        if not take_piece(core, message):
+            return
+    elif message.after <= core.sure and in_order(message.after, message.entries):
+        core.append(message.entries)
+        core.sure = max(core.sure, message.after + len(message.entries))
+    else:
+        return
+    assert core.fetching is not None
+    core.fetching = core.fetching._replace(at=0)
+    if task.then == "follow":
+        core.commit_to(message.committed)
+        have(core, 0)
+    if core.sure < (task.target or message.top):
+        keep_fetching(core, now)
+        return
+    core.fetching = None
+    if task.then == "recover":
+        recovered(core, now, task.view)
+        core.commit_to(message.committed)
+        have(core, 0)
+    elif task.then == "lead":
+        start_leading(core, now)
+
+
+def take_piece(core: Core, message: Chunk) -> bool:
+    """A piece of a snapshot. Pieces of another than the one begun start it anew."""
+    task = core.fetching
+    assert task is not None
+    data = task.data if message.snapshot == task.snapshot else b""
+    if message.offset != len(data):
+        return False
+    data += message.data
+    core.fetching = task._replace(snapshot=message.snapshot, data=data)
+    if len(data) < message.total:
+        return True
+    core.fetching = core.fetching._replace(snapshot=0, data=b"")
+    core.install(msgspec.msgpack.decode(data, type=Snapshot), message.group)
+    return True
--- /dev/null
+++ b/ambershift/replication/replica.py
@@ -0,0 +1,234 @@
+"""The replica: events with their time in, effects out. See docs/design/group.md."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from ambershift.replication import birth, following, leading, messages, requests, views, wants
+from ambershift.replication.core import Core, Fixed
+from ambershift.replication.frozen import Frozen, freeze, thaw
+from ambershift.replication.log import Log
+from ambershift.replication.messages import Message
+from ambershift.replication.timing import PLAIN, Timing
+from ambershift.replication.words import Effect, Machine, MemberRow, Saved, Status
+
+HANDLERS: dict[type, Callable[[Core, int, str, Any], None]] = {
+    messages.Ask: birth.on_ask,
+    messages.Blank: birth.on_blank,
+    messages.Told: birth.on_told,
+    messages.Beat: following.on_beat,
+    messages.Prepare: following.on_prepare,
+    messages.Have: leading.on_have,
+    messages.Fetch: following.on_fetch,
+    messages.Chunk: following.on_chunk,
+    messages.Suspect: views.on_suspect,
+    messages.Suspected: views.on_suspected,
+    messages.Leave: views.on_leave,
+    messages.Vote: views.on_vote,
+    messages.Newer: views.on_newer,
+    messages.Forward: requests.on_forward,
+    messages.Answered: requests.on_answered,
+    messages.ReadAsk: requests.on_read_ask,
+    messages.ReadAt: requests.on_read_at,
+}
+NEVER = 1 << 62
+
+
+class Replica:
+    """One member's share in the log. `voters` are the same, in the same order, at all members: leaders follow
+    from it. `incarnation` is higher than of any start before; `saved` is what the folder vouches for, None
+    where there is none or it was set aside. Times are ns; `noop` is the command that a new leader writes."""
+
+    def __init__(self, me: str, voters: Sequence[str], copies: Sequence[str], machine: Machine[Any],
+                 seed: int, incarnation: int, saved: Saved | None, disk: bool, timing: Timing = PLAIN,
+                 now: int = 0, *, noop: bytes = b"") -> None:
+        if len(set(voters)) != len(voters) or len(voters) % 2 == 0 or len(voters) > 7:
+            raise ValueError("1, 3, 5 or 7 voters")
+        members = (*voters, *copies)
+        if me not in members or len(set(members)) != len(members):
+            raise ValueError(f"{me} is not one of the members, or one is named twice")
+        fixed = Fixed(me, tuple(voters), members, machine, disk, timing, noop)
+        core = self.core = Core(fixed, seed, incarnation)
+        core.leader_heard = core.ask_at = now
+        core.next_start = now
+        views.new_patience(core)
+        if saved is not None:
+            self.take_saved(core, saved, now)
+
+    @staticmethod
+    def take_saved(core: Core, saved: Saved, now: int) -> None:
+        """It goes on as what it was, but for leading: what it wrote last as a leader may be gone."""
+        if saved.incarnation >= core.incarnation:
+            raise ValueError(f"incarnation {core.incarnation} after {saved.incarnation}")
+        snapshot = saved.snapshot
+        core.log = Log(snapshot.number if snapshot else 0, snapshot.view if snapshot else 0)
+        if snapshot is not None:
+            core.install(snapshot, saved.group)
+            core.snapshot_due = False
+        for entry in saved.entries:
+            core.log.put(entry)
+        core.view, core.group = saved.view, saved.group
+        core.status, core.voted = Status.CHANGING, True
+        core.change_at = now + core.fixed.timing.silence
+        core.behind = saved.view, core.log.last, core.log.top
+        core.cut, core.written_top = 0, core.log.top
+        core.durable_top, core.durable_view = core.log.top, saved.view
+        core.sure = max(core.committed, min(saved.committed, core.log.top))
+        core.commit_to(core.sure)
+
+    # Events
+
+    def hear(self, now: int, sender: str, message: Message) -> list[Effect]:
+        """A message of another member, whose name the shell has checked."""
+        core = self.core
+        if core.status is Status.HALTED or sender not in core.fixed.members or sender == core.fixed.me:
+            return []
+        if core.learn_life(sender, message.incarnation):
+            core.heard[sender] = now
+            HANDLERS[type(message)](core, now, sender, message)
+        return self.end(now)
+
+    def gone(self, now: int, member: str) -> list[Effect]:
+        """The link to it broke: what was under way may be lost."""
+        core = self.core
+        task = core.fetching
+        if task is not None and task.source == member and task.at:
+            core.fetching = task._replace(at=min(task.at, now - core.fixed.timing.fetch // 2))
+        if member == core.leader:
+            for ticket, want in core.wants.items():
+                core.wants[ticket] = want._replace(retry_at=min(want.retry_at, now + core.fixed.timing.beat))
+        return self.end(now)
+
+    def synced(self, now: int, ticket: int) -> list[Effect]:
+        """That Write and all before it are on the disk. A sync that failed is never told."""
+        core = self.core
+        if core.status is Status.HALTED:
+            return []
+        core.on_synced(ticket)
+        views.count_leavers(core, now)
+        following.have(core, 0)
+        return self.end(now)
+
+    def submit(self, now: int, at: int, ticket: int, token: str, command: bytes, until: int) -> list[Effect]:
+        """At any member. `Answer(ticket, ...)` comes once, by `until` at the latest (as `due` is called)."""
+        self.core.wall = at - now
+        requests.submit(self.core, now, ticket, token, command, until)
+        return self.end(now)
+
+    def read(self, now: int, ticket: int, until: int) -> list[Effect]:
+        """Answered once the state here has all that was promised when this was called."""
+        requests.read(self.core, now, ticket, until)
+        return self.end(now)
+
+    def due(self, now: int, at: int) -> list[Effect]:
+        """To be called at `next_at`; sooner does no harm."""
+        core = self.core
+        core.wall = at - now
+        if core.status is not Status.HALTED:
+            birth.ask(core, now)
+            leading.check_quorum(core, now)
+            views.look(core, now)
+            following.keep_fetching(core, now)
+            requests.push_late(core, now)
+        return self.end(now)
+
+    def stop(self, now: int) -> list[Effect]:
+        """The program ends: all that wait are answered."""
+        requests.stop(self.core)
+        return self.end(now)
+
+    def end(self, now: int) -> list[Effect]:
+        core = self.core
+        where = core.view, core.status
+        if core.status is not Status.HALTED:
+            core.next_start = NEVER
+            if where != core.was and core.status is Status.NORMAL:
+                requests.push_all(core, now)
+            core.was = where
+            leading.work(core, now)
+            core.compact()
+            wants.serve_reads(core)
+        else:
+            requests.halt(core)
+        wants.expire(core, now)
+        return core.finish()
+
+    # What is seen from outside
+
+    @property
+    def next_at(self) -> int:
+        """When `due` is to be called next."""
+        core = self.core
+        if core.status is Status.HALTED:
+            return min([NEVER, *(want.until for want in core.wants.values())])
+        times = [core.next_start]
+        times += [want.until if want.place >= 0 else min(want.until, want.retry_at)
+                  for want in core.wants.values()]
+        if core.fetching is not None:
+            times.append(core.fetching.at + core.fixed.timing.fetch if core.fetching.at else 0)
+        if core.status is Status.BLANK and core.fixed.votes and core.fetching is None:
+            times.append(core.ask_at)
+        if core.leading and not core.doubt:
+            times.append(core.beat_at)
+        elif core.status is not Status.BLANK and core.fixed.votes:
+            times.append(max(views.suspect_from(core), core.suspect_at))
+            if core.status is Status.CHANGING:
+                times.append(core.again_at)
+        return min(times)
+
+    @property
+    def status(self) -> Status:
+        return self.core.status
+
+    @property
+    def view(self) -> int:
+        return self.core.view
+
+    @property
+    def group(self) -> str:
+        """The group's id; "" while no entry is known to be committed."""
+        return self.core.group
+
+    @property
+    def leader(self) -> str | None:
+        """Who leads as far as this member knows."""
+        core = self.core
+        return core.leader if core.status is Status.NORMAL and not core.doubt else None
+
+    @property
+    def committed(self) -> int:
+        return self.core.committed
+
+    @property
+    def state(self) -> Any:
+        return self.core.state
+
+    def member_rows(self, now: int) -> tuple[MemberRow, ...]:
+        core = self.core
+        rows = {row.name: row for row in core.all_rows()}
+        found = []
+        for name in core.fixed.members:
+            row, heard = rows.get(name), 0 if name == core.fixed.me else now - core.heard.get(name, now + 1)
+            status = core.status.value if name == core.fixed.me else row.status if row else "unknown"
+            leads = name == self.leader
+            found.append(MemberRow(name, name in core.fixed.voters, leads, status,
+                                   core.lives.get(name, 0), row.committed if row else 0, heard))
+        return tuple(found)
+
+    # For the model checker
+
+    def freeze(self) -> Frozen:
+        """All of it as plain values, between two calls."""
+        return freeze(self.core)
+
+    @classmethod
+    def thaw(cls, me: str, voters: Sequence[str], copies: Sequence[str], machine: Machine[Any], disk: bool,
+             timing: Timing, frozen: Frozen, *, noop: bytes = b"") -> Replica:
+        """The replica that was frozen."""
+        replica = cls.__new__(cls)
+        fixed = Fixed(me, tuple(voters), (*voters, *copies), machine, disk, timing, noop)
+        replica.core = thaw(Core(fixed, 0, 0), frozen)
+        if replica.core.leading:
+            leading.look_ahead(replica.core)
+        return replica
--- /dev/null
+++ b/ambershift/replication/requests.py
@@ -0,0 +1,109 @@
+"""Commands and reads of this member's clients: to the leader, and again until they are settled."""
+
+from __future__ import annotations
+
+from ambershift.replication.core import Core, Want
+from ambershift.replication.leading import accept, ask_to_read
+from ambershift.replication.messages import Answered, Forward, ReadAsk, ReadAt
+from ambershift.replication.wants import settle, take_answer, take_read
+from ambershift.replication.words import Answer, Reason, Status
+
+LOST = 0  # In place of attempts too many to keep: never refused.
+
+
+def submit(core: Core, now: int, ticket: int, token: str, command: bytes, until: int) -> None:
+    """A command without a token gets one of its own, so that sending it again writes it once."""
+    token = token or f"~{core.fixed.me}.{core.incarnation}.{ticket}"
+    begin(core, now, ticket, Want(False, token, command, until, now, (), -1, ""))
+
+
+def read(core: Core, now: int, ticket: int, until: int) -> None:
+    begin(core, now, ticket, Want(True, "", b"", until, now, (), -1, ""))
+
+
+def begin(core: Core, now: int, ticket: int, want: Want) -> None:
+    timing = core.fixed.timing
+    assert ticket not in core.wants, ticket
+    if core.status is Status.HALTED:
+        core.out.append(Answer(ticket, Reason(core.halted[0]), b"", 0))
+    elif len(core.wants) >= timing.waiting:
+        core.out.append(Answer(ticket, Reason.TOO_MANY_WAIT, b"", timing.come_back))
+    elif len(want.command) > timing.command_bytes:
+        core.out.append(Answer(ticket, Reason.TOO_LARGE, b"", 0))
+    else:
+        core.wants[ticket] = want
+        push(core, now, ticket)
+
+
+def push(core: Core, now: int, ticket: int) -> None:
+    """On to the leader, if there is one."""
+    want = core.wants[ticket]
+    if core.status is not Status.NORMAL or core.doubt or want.place >= 0:
+        core.wants[ticket] = want._replace(retry_at=now + core.fixed.timing.retry)
+        return
+    if want.read:
+        core.wants[ticket] = want._replace(retry_at=now + core.fixed.timing.retry)
+        if core.leading:
+            ask_to_read(core, core.fixed.me, core.incarnation, ticket)
+        else:
+            core.send(core.leader, ReadAsk(incarnation=core.incarnation, view=core.view, ticket=ticket))
+        return
+    core.attempt += 1
+    tries = (*want.open, core.attempt) if len(want.open) < 8 else (LOST, *want.open[-6:], core.attempt)
+    core.wants[ticket] = want._replace(retry_at=now + core.fixed.timing.retry, open=tries)
+    if core.leading:
+        accept(core, now, core.fixed.me, core.incarnation, ticket, core.attempt, want.token, want.command)
+    else:
+        core.send(core.leader, Forward(incarnation=core.incarnation, view=core.view, ticket=ticket,
+                                       attempt=core.attempt, token=want.token, command=want.command))
+
+
+def push_late(core: Core, now: int) -> None:
+    for ticket in list(core.wants):
+        if ticket in core.wants and now >= core.wants[ticket].retry_at:
+            push(core, now, ticket)
+
+
+def push_all(core: Core, now: int) -> None:
+    """There is another leader."""
+    for ticket in list(core.wants):
+        if ticket in core.wants:
+            push(core, now, ticket)
+
+
+def on_forward(core: Core, now: int, sender: str, message: Forward) -> None:
+    """Only in the view for which it was meant, and each attempt once: a copy that comes late writes nothing
+    that was refused or forgotten."""
+    taken = core.attempts.get(sender, (0, 0))[1]
+    if message.view != core.view or not core.leading or message.attempt <= taken:
+        return
+    core.attempts[sender] = message.incarnation, message.attempt
+    accept(core, now, sender, message.incarnation, message.ticket, message.attempt, message.token,
+           message.command)
+
+
+def on_answered(core: Core, now: int, sender: str, message: Answered) -> None:
+    if message.asked == core.incarnation:
+        take_answer(core, message.ticket, message.attempt, message.reason, message.answer)
+
+
+def on_read_ask(core: Core, now: int, sender: str, message: ReadAsk) -> None:
+    if message.view == core.view:
+        ask_to_read(core, sender, message.incarnation, message.ticket)
+
+
+def on_read_at(core: Core, now: int, sender: str, message: ReadAt) -> None:
+    if message.asked == core.incarnation:
+        take_read(core, message.ticket, message.number)
+
+
+def halt(core: Core) -> None:
+    """Refused by name: nothing that waits can be settled here any more."""
+    for ticket, want in list(core.wants.items()):
+        settle(core, ticket, Reason.OUTCOME_UNKNOWN if want.open else Reason(core.halted[0]), b"")
+
+
+def stop(core: Core) -> None:
+    """The member is to end: nobody waits longer."""
+    for ticket, want in list(core.wants.items()):
+        settle(core, ticket, Reason.OUTCOME_UNKNOWN if want.open else Reason.STOPPING, b"")
--- a/ambershift/replication/words.py
+++ b/ambershift/replication/words.py
@@ -30,6 +30,7 @@
     OUTCOME_UNKNOWN = "outcome-unknown"  # It may stand or not; ask again with the same token.
     TOO_MANY_WAIT = "too-many-promises-wait"
     TOKEN_REUSED = "token-reused"
+    TOO_LARGE = "too-large"  # A command of more bytes than a message carries.
     STOPPING = "stopping"
     SUPERSEDED = "superseded"  # The same name lives under a newer incarnation.
     CLONED = "cloned"  # The same name and incarnation, run by another process.
@@ -149,4 +150,16 @@
     why: str
 
 
+class MemberRow(NamedTuple):
+    """What a member knows of one, for people. `heard_ns`: how long ago it was heard; -1: not yet."""
+
+    name: str
+    votes: bool
+    leads: bool
+    status: str
+    incarnation: int
+    committed: int
+    heard_ns: int
+
+
 Effect = Write | Send | Applied[Any] | Restored[Any] | Answer | Note | Halt
