Join replica, links, disk and desk into a member, and answer commands by its promises

With a group a changing command is answered Done once a majority holds it, refused by name where nothing was written, and unknown where it may stand. Execute and front are split as they are touched.

--- a/ambershift/cli/ctl.py
+++ b/ambershift/cli/ctl.py
@@ -148,7 +148,7 @@
     def limit(self, text: str) -> float | None:
         """A wait answers when it is over, which may be long after any other answer."""
         from ambershift.runtime.changes import BadCommandError
-        from ambershift.runtime.execute import SECOND, read_delay
+        from ambershift.runtime.converse import SECOND, read_delay
         words = text.split()
         if len(words) > 1 and words[0] == "wait":
             try:
--- a/ambershift/cli/run.py
+++ b/ambershift/cli/run.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from ambershift.settings.model import Root
 
+LINKS_OF_GROUP = 64  # Descriptors left to links and folder.
+
 
 @click.command("run")
 @click.option("--settings", "file", type=click.Path(), help="Our own settings, in HCL.")
@@ -57,8 +59,8 @@
 
 async def serve(root: Root | None, log: Callable[[dict[str, Any]], None], signals: Signals) -> None:
     start, book = read(os.environ), Book(log)
-    runtime = root.runtime if root else None
-    if runtime is None or not (runtime.socket or runtime.tcp):
+    runtime, group = (root.runtime, root.group) if root else (None, None)
+    if runtime is None or not (runtime.socket or runtime.tcp or group):
         await Coordinator(start, book, signals).run()
         return
     from ambershift.runtime.front import RuntimeFront
@@ -72,6 +74,13 @@
         spots.append(TcpPlace(host, int(port), Level[tcp.level.upper()]))
     idle = duration(runtime.timeout)
     assert idle is not None  # Checked when the settings were read.
-    coordinator = Coordinator(start, book, signals, runtime.max_connections)
-    coordinator.attach(RuntimeFront(coordinator, spots, runtime.max_connections, idle, VERSION))
+    talk = LINKS_OF_GROUP if group else 0
+    coordinator = Coordinator(start, book, signals, runtime.max_connections + talk)
+    given = coordinator, spots, runtime.max_connections, idle, VERSION
+    if group:
+        from ambershift.group.front import GroupFront
+        from ambershift.group.spec import spec_of
+        coordinator.attach(GroupFront(*given, spec_of(group)))
+    else:
+        coordinator.attach(RuntimeFront(*given))
     await coordinator.run()
--- /dev/null
+++ b/ambershift/group/at_desk.py
@@ -0,0 +1,77 @@
+"""At the desk: carries out for this coordinator's proxies what the group has promised."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from ambershift import interface as api
+from ambershift.admin.desk import Desk
+from ambershift.admin.words import AS_LISTED, Standing
+from ambershift.door import Door
+from ambershift.promises.state import EMPTY, Promises
+
+
+class AtDesk:
+    """Wishes and permits are held by the servers' ids; what no list has named yet is taken up when one does.
+
+    `ahead` is what the member's wall clock is ahead of the desk's, `moved` tells the front to look again.
+    """
+
+    def __init__(self, desk: Desk, door: Door[str], now: Callable[[], int], ahead: int,
+                 moved: Callable[[], None]) -> None:
+        self.desk, self.door, self.now, self.ahead, self.moved = desk, door, now, ahead, moved
+        self.state = EMPTY
+        self.holds = True  # False while this member's clock is apart: then nothing is kept out by permits.
+
+    def wishes(self, state: Promises, servers: Iterable[str], who: str, text: str) -> None:
+        """These servers' wishes are others now."""
+        self.state = state
+        found = dict[int, Standing]()
+        for server in servers:
+            index = self.door.known(server)
+            if index is not None:
+                found[index] = state.wish(server)
+        self.desk.adopt(self.now(), found, who, text)
+        self.moved()
+
+    def permits(self, state: Promises) -> None:
+        self.state = state
+        self.desk.permit(self.now(), self.until())
+        self.moved()
+
+    def all(self, state: Promises) -> None:
+        """A snapshot took the place of what was known: whatever stands is taken over at once."""
+        own = [self.door.ids[one] for one in self.desk.world.standing if one in self.door.ids]
+        self.wishes(state, dict.fromkeys((*own, *state.wishes)), "group", "what stands in the group")
+        self.permits(state)
+
+    def before_list(self, event: api.Listed) -> None:
+        """Ahead of the desk: servers that it has not had so far may be wanted out already."""
+        fresh = [entry.server for entry in event.entries if entry.server not in self.desk.world.listed]
+        for server in fresh if self.state.wishes else ():
+            if (wish := self.state.wish(self.door.ids[server])) != AS_LISTED:
+                self.desk.ahead[server] = wish
+        if fresh and self.state.permits:
+            self.desk.permits = self.until()
+
+    def hold(self, holds: bool) -> None:
+        """Whether this member's clock is near enough to the others' to hold servers out by permits."""
+        if holds != self.holds:
+            self.holds = holds
+            self.permits(self.state)
+
+    def until(self) -> dict[int, int]:
+        """The servers that permits keep out, and until when by the desk's clock."""
+        if not self.holds:
+            return {}
+        kept = self.state.kept_out(self.now() + self.ahead)
+        return {index: permit.ends - self.ahead for server, permit in kept.items()
+                if (index := self.door.known(server)) is not None}
+
+    def drained(self, server: str) -> bool:
+        """Shut out at every proxy that this coordinator steers, and no try told any more."""
+        if not self.holds:
+            return False
+        index = self.door.known(server)
+        return index is None or index not in self.desk.world.listed or self.desk.drained(
+            [index], self.now())
--- /dev/null
+++ b/ambershift/group/front.py
@@ -0,0 +1,88 @@
+"""The group's front on a coordinator: the runtime API with a member behind it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from functools import partial
+
+from ambershift import interface as api
+from ambershift.admin.words import Refused
+from ambershift.coordinator.program.assembly import Coordinator
+from ambershift.coordinator.program.configuration import BadStartError
+from ambershift.group.at_desk import AtDesk
+from ambershift.group.guard import Guard
+from ambershift.group.life import NoFolderError
+from ambershift.group.member import Member
+from ambershift.group.promise import Promises
+from ambershift.group.spec import Spec
+from ambershift.promises.machine import PromisesMachine
+from ambershift.runtime.changes import why_refused
+from ambershift.runtime.front import RuntimeFront
+from ambershift.runtime.places import TcpPlace, UnixPlace
+from ambershift.runtime.scene import Scene
+from ambershift.runtime.tap import DeskTap
+
+
+class GroupTap(DeskTap):
+    """Of a server that no list had before, the desk learns first what the group wants of it."""
+
+    def __init__(self, front: RuntimeFront, at_desk: AtDesk) -> None:
+        super().__init__(front.desk, front.now, front.moved)
+        self.at_desk = at_desk
+
+    def listed(self, event: api.Listed) -> api.Listed:
+        self.at_desk.before_list(event)
+        return super().listed(event)
+
+
+class GroupFront(RuntimeFront):
+    """Steering never waits for the member: what it has not heard of the group yet is as if not wanted."""
+
+    def __init__(self, coordinator: Coordinator, spots: Sequence[UnixPlace | TcpPlace], most: int, idle: int,
+                 version: str, spec: Spec) -> None:
+        super().__init__(coordinator, spots, most, idle, version)
+        door, note = coordinator.admit.door, coordinator.book.note
+        self.at_desk = AtDesk(self.desk, door, self.now, spec.clock_ahead, self.moved)
+        guard = Guard(self.desk, door, self.now, partial(tell, self.scene), self.apart)
+        seed = coordinator.start.seed ^ hash_of(spec.me)
+        self.member = Member(spec, PromisesMachine(guard), self.at_desk,
+                             lambda: self.now() + spec.clock_ahead, note, seed)
+        self.member.gossip.steered = lambda: len(self.desk.mirror.picture.seats)
+        self.promises = Promises(self.member, door.ids.__getitem__)
+        self.scene.common = self.promises
+        self.tap = GroupTap(self, self.at_desk)
+
+    def apart(self) -> bool:
+        return self.member.gossip.clocks.apart(self.member.now())
+
+    async def open(self) -> None:
+        try:
+            await self.member.open()
+        except NoFolderError as error:
+            raise BadStartError(f"key 'group.folder': {error}") from None
+        except OSError as error:
+            await self.member.close()
+            raise BadStartError(f"key 'group.listen': can't listen there ({error.strerror})") from None
+        await super().open()
+
+    async def close(self) -> None:
+        """What waits for a promise is answered, then the rest as without a group."""
+        self.member.stop()
+        await asyncio.sleep(0)
+        await super().close()
+        await self.member.close()
+
+
+def tell(scene: Scene, refused: Refused) -> str:
+    return why_refused(scene, scene.view(), refused)
+
+
+def hash_of(name: str) -> int:
+    """The same at each start, other than `hash`."""
+    value = 0
+    for letter in name.encode():
+        value = (value * 1_099_511_628_211 + letter) & ((1 << 64) - 1)
+    return value
+
+
--- /dev/null
+++ b/ambershift/group/gossip.py
@@ -0,0 +1,137 @@
+"""Gossip: spreads heard state, and says of this member what others need: what it steers, its clock, and
+which servers on permits are drained for its proxies."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ambershift.group.clocks import Clocks
+from ambershift.group.links.wire import Kind, UnreadableError
+from ambershift.maintenance.words import Phase
+from ambershift.replication.heard import messages
+from ambershift.replication.heard.store import Store
+from ambershift.replication.heard.words import Kind as Heard
+from ambershift.replication.heard.words import Record
+
+if TYPE_CHECKING:
+    from ambershift.group.member import Member
+
+SECOND = 1_000_000_000
+# One digest to each member a beat: what is new has reached all within two. One's own is said again each
+# OWN_EVERY, well within the time that it counts.
+BEAT, OWN_EVERY = 0.25, 4
+
+
+class Steers(msgspec.Struct, frozen=True, array_like=True):
+    """Body of STEERS: how many proxies, and the wall clock at that moment, Unix ns."""
+
+    proxies: int
+    wall: int
+
+
+class Gossip:
+    def __init__(self, member: Member) -> None:
+        self.member = member
+        self.store = Store(member.spec.me, 0)
+        self.clocks = Clocks(member.spec.clock_bound)
+        self.steered: Callable[[], int] = lambda: 0
+        # Those who put records of their own, or read what came: called each beat, and with what is new.
+        self.beats = list[Callable[[int], None]]()
+        self.news = list[Callable[[int, Iterable[Record]], None]]()
+        self.task: asyncio.Task[None] | None = None
+        self.turn = 0
+
+    def live(self, incarnation: int) -> None:
+        """A new life: what others said before still counts, by its age, but it is asked for again."""
+        self.store = Store(self.member.spec.me, incarnation)
+
+    def open(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    def close(self) -> None:
+        if self.task:
+            self.task.cancel()
+
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT)
+            try:
+                self.beat(self.member.now())
+            except Exception as error:  # One bad record must not end what all later ones need.
+                self.member.note("failure", where="gossip", error=repr(error)[:500])
+
+    def beat(self, now: int) -> None:
+        self.turn += 1
+        if self.turn % OWN_EVERY == 1:
+            self.store.sweep(now)
+            self.say_own(now)
+            self.member.at_desk.hold(not self.clocks.apart(now))
+        for call in self.beats:
+            call(now)
+        if not self.member.halted:
+            self.tell(messages.encode(self.store.digest()))
+
+    def tell(self, payload: bytes) -> None:
+        for peer in self.member.spec.peers:
+            self.member.links.send(peer.name, Kind.HEARD, payload)
+
+    def say_own(self, now: int) -> None:
+        own = Steers(self.steered(), self.member.wall())
+        self.store.put(now, Heard.STEERS, "", msgspec.msgpack.encode(own))
+        open_now = set[str]()
+        for held in self.member.state.permits.values():
+            permit = held.permit
+            if permit.phase > Phase.OUT:
+                continue
+            open_now.add(permit.id)
+            body = b"1" if self.member.at_desk.drained(permit.server) else b"0"
+            if self.mine(Heard.DRAINED, permit.id) != body:
+                self.store.put(now, Heard.DRAINED, permit.id, body)
+        for key in self.store.keys(Heard.DRAINED):
+            if key not in open_now:
+                self.store.take_back(now, Heard.DRAINED, key)
+
+    def mine(self, kind: Heard, key: str) -> bytes | None:
+        held = self.store.found.get(kind, {}).get(key, {}).get(self.store.me)
+        return held.body if held is not None else None
+
+    def hear(self, sender: str, payload: bytes) -> None:
+        now = self.member.now()
+        try:
+            answers, news = self.store.hear(now, messages.decode(payload))
+        except messages.UnreadableError as error:
+            raise UnreadableError(str(error)) from None
+        for answer in answers:
+            self.member.links.send(sender, Kind.HEARD, messages.encode(answer))
+        for record in news:
+            if record.kind == Heard.STEERS and record.body and (steers := read_steers(record)) is not None:
+                self.clocks.heard(now, self.member.wall(), record.origin, steers.wall, record.age_ns)
+        if news:
+            for call in self.news:
+                call(now, news)
+
+    # What others said
+
+    def steering(self, now: int) -> dict[str, int]:
+        """The members heard lately, this one too, and how many proxies each steers."""
+        found = {self.store.me: self.steered()}
+        for record in self.store.all(now, Heard.STEERS):
+            if record.origin != self.store.me and (steers := read_steers(record)) is not None:
+                found[record.origin] = steers.proxies
+        return found
+
+    def drained(self, now: int, permit: str) -> dict[str, bool]:
+        """What each member said last of one permit."""
+        return {record.origin: record.body == b"1" for record in self.store.all(now, Heard.DRAINED)
+                if record.key == permit}
+
+
+def read_steers(record: Record) -> Steers | None:
+    try:
+        return msgspec.msgpack.decode(record.body, type=Steers)
+    except (msgspec.MsgspecError, ValueError):
+        return None
--- /dev/null
+++ b/ambershift/group/life.py
@@ -0,0 +1,59 @@
+"""Life: under which incarnation a member starts, with or without a folder, and what that vouches for."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from ambershift.group.disk.files import LockedError, RealFiles
+from ambershift.group.disk.folder import DiskError, Folder, RefusedError
+from ambershift.group.spec import Spec
+from ambershift.promises.answers import encode
+from ambershift.promises.machine import PromisesMachine
+from ambershift.promises.words import Nothing
+from ambershift.replication.replica import Replica
+from ambershift.replication.words import Saved
+
+Note = Callable[..., None]
+
+
+class NoFolderError(Exception):
+    """The folder can't be had: another process has it, or it is another member's. A person must look."""
+
+
+class Life(NamedTuple):
+    """`folder` None: nothing is kept on disk. `failed`: the disk can't be used, and no part is taken."""
+
+    incarnation: int
+    saved: Saved | None
+    folder: Folder | None
+    failed: str
+
+
+def begin(spec: Spec, note: Note, least: int = 0, void: str = "") -> Life:
+    """Waits for the disk. `least` is the lowest incarnation that will do, `void` why a folder counts for
+    nothing. Unix time counts incarnations, so that one that lost its folder is newer than it was."""
+    wall = max(time.time_ns(), least)
+    if not spec.folder:
+        return Life(wall, None, None, "")
+    folder = Folder(RealFiles(spec.folder), spec.title, spec.me)
+    try:
+        opened = folder.open(wall, void)
+    except (LockedError, RefusedError) as error:
+        raise NoFolderError(str(error)) from None
+    except DiskError as error:
+        note("disk_failed", why=str(error))
+        return Life(wall, None, None, str(error))
+    if opened.aside:
+        note("folder_set_aside", why=void or opened.why, files=list(opened.aside),
+             reason=void or str(opened.fault))
+    if opened.torn:
+        note("folder_torn", bytes=opened.torn, why="the last write was cut short, and vouched for nothing")
+    return Life(opened.incarnation, opened.saved, folder, "")
+
+
+def replica_of(spec: Spec, machine: PromisesMachine, life: Life, now: int, seed: int) -> Replica:
+    given: dict[str, Any] = {"now": now, "noop": encode(Nothing())}
+    return Replica(spec.me, spec.voters, spec.copies, machine, seed, life.incarnation, life.saved,
+                   life.folder is not None, **given)
--- /dev/null
+++ b/ambershift/group/member.py
@@ -0,0 +1,279 @@
+"""Member: joins replica, links, disk and desk. It carries out effects in their order and decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+from ambershift.group.at_desk import AtDesk
+from ambershift.group.disk.worker import Disk
+from ambershift.group.gossip import Gossip
+from ambershift.group.life import Life, Note, begin, replica_of
+from ambershift.group.links.gate import Mine
+from ambershift.group.links.links import Links
+from ambershift.group.links.wire import Close, Kind, Refused, UnreadableError
+from ambershift.group.spec import Spec
+from ambershift.promises.answers import decode, encode, read_answer
+from ambershift.promises.machine import PromisesMachine
+from ambershift.promises.state import EMPTY, Promises
+from ambershift.promises.words import Command, Wishes
+from ambershift.replication import messages, words
+from ambershift.replication.replica import Replica
+from ambershift.replication.words import Answer, Applied, Halt, Reason, Restored, Send, Write
+
+SECOND = 1_000_000_000
+# Beyond a client's own bound the replica has answered; this is against a loop that was held up.
+GRACE = 1.0
+
+
+class Member:
+    """`wall` is this member's wall clock, what its clock is set ahead included."""
+
+    def __init__(self, spec: Spec, machine: PromisesMachine, at_desk: AtDesk, wall: Callable[[], int],
+                 note: Note, seed: int) -> None:
+        self.spec, self.machine, self.at_desk, self.wall, self.note = spec, machine, at_desk, wall, note
+        self.seed, self.now = seed, time.monotonic_ns
+        self.members = frozenset((*spec.voters, *spec.copies))
+        self.links = Links(spec.listen, spec.peers, self, note, seed)
+        self.replica: Replica | None = None
+        self.life = Life(0, None, None, "")
+        self.disk: Disk | None = None
+        self.halted: tuple[str, str] | None = None
+        self.renewed, self.welcomed, self.stopping = False, False, False
+        self.asked = dict[int, asyncio.Future[Answer]]()
+        self.tickets = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = 0
+        self.gossip = Gossip(self)
+        self.listeners = list[Callable[[Promises, Command | None], None]]()  # Told what was committed.
+        self.on_counters: Callable[[str, bytes], None] | None = None
+        self.again = set[asyncio.Task[None]]()
+
+    # Beginning and ending
+
+    async def open(self) -> None:
+        """A NoFolderError where the folder is another's, an OSError where the address can't be had."""
+        await self.live()
+        await self.links.open()
+        self.gossip.open()
+
+    async def live(self, least: int = 0, void: str = "") -> None:
+        """Begin a life: as what the folder vouches for, or blank."""
+        self.life = await asyncio.to_thread(begin, self.spec, self.note, least, void)
+        self.halted = ("disk-failed", self.life.failed) if self.life.failed else None
+        if self.halted:
+            return
+        if self.life.folder is not None:
+            self.disk = Disk(self.life.folder, self, asyncio.get_running_loop())
+            self.disk.start()
+        self.replica = replica_of(self.spec, self.machine, self.life, self.now(), self.seed)
+        self.gossip.live(self.life.incarnation)
+        self.note("group_start", incarnation=self.life.incarnation, folder=self.life.folder is not None,
+                  kept=self.life.saved is not None, status=self.replica.status.value)
+        if self.replica.committed:
+            self.take_all(self.replica.state)
+        self.arm()
+
+    async def close(self) -> None:
+        """All that wait are answered first."""
+        self.stop()
+        self.gossip.close()
+        if self.timer:
+            self.timer.cancel()
+        await self.links.close()
+        await self.end_disk()
+
+    def stop(self) -> None:
+        if not self.stopping and self.replica is not None:
+            self.stopping = True
+            self.perform(self.replica.stop(self.now()))
+
+    async def end_disk(self) -> None:
+        disk, self.disk = self.disk, None
+        if disk is not None and not await asyncio.to_thread(disk.close):
+            self.note("disk_hangs")
+
+    # What is asked of it
+
+    async def submit(self, token: str, command: Command, wait: int) -> Answer:
+        """Answered within `wait` ns; a refusal by name says whether anything may stand."""
+        return await self.ask(lambda now, ticket: self.running().submit(
+            now, self.wall(), ticket, token, encode(command), now + wait), wait)
+
+    async def read(self, wait: int) -> Answer:
+        """Once answered, `state` has all that was promised when this was called."""
+        return await self.ask(lambda now, ticket: self.running().read(now, ticket, now + wait), wait)
+
+    async def ask(self, call: Callable[[int, int], list[Any]], wait: int) -> Answer:
+        if self.stopping:
+            return Answer(0, Reason.STOPPING, b"", 0)
+        if self.replica is None or self.halted:
+            return Answer(0, Reason.NO_MAJORITY, b"", SECOND)
+        self.tickets += 1
+        ticket, future = self.tickets, asyncio.get_running_loop().create_future()
+        self.asked[ticket] = future
+        self.perform(call(self.now(), ticket))
+        try:
+            async with asyncio.timeout(wait / SECOND + GRACE):
+                return await asyncio.shield(future)
+        except TimeoutError:
+            return Answer(ticket, Reason.OUTCOME_UNKNOWN, b"", SECOND)
+        finally:
+            self.asked.pop(ticket, None)
+
+    def running(self) -> Replica:
+        assert self.replica is not None
+        return self.replica
+
+    @property
+    def state(self) -> Promises:
+        """As committed, as far as this member knows."""
+        found: Promises = self.replica.state if self.replica is not None else EMPTY
+        return found
+
+    @property
+    def leads(self) -> bool:
+        return self.replica is not None and self.halted is None and self.replica.leader == self.spec.me
+
+    # What links tell
+
+    def mine(self) -> Mine:
+        group = self.replica.group if self.replica is not None else ""
+        return Mine(self.spec.me, self.spec.title, self.spec.voters, self.members, self.life.incarnation,
+                    group)
+
+    def heard(self, sender: str, kind: Kind, payload: bytes) -> None:
+        if self.halted or self.stopping or self.replica is None:
+            return
+        if kind is Kind.HEARD:
+            self.gossip.hear(sender, payload)
+            return
+        try:
+            message = messages.decode(payload)
+        except messages.UnreadableError as error:
+            raise UnreadableError(str(error)) from None
+        self.perform(self.replica.hear(self.now(), sender, message))
+
+    def gone(self, member: str) -> None:
+        if self.replica is not None and not self.halted:
+            self.perform(self.replica.gone(self.now(), member))
+
+    def came(self, member: str) -> None:
+        self.welcomed = True
+
+    def refused(self, member: str, refused: Refused) -> None:
+        if self.halted or refused.reason not in (Close.SUPERSEDED, Close.CLONED):
+            return
+        if refused.reason == Close.SUPERSEDED and not self.welcomed and not self.renewed:
+            # Its clock went back while it was away: it takes a newer incarnation, once.
+            self.renewed = True
+            self.start_again(refused.known + 1, "")
+        else:
+            self.halt(refused.reason, refused.why)
+
+    def counters(self, name: str, payload: bytes) -> None:
+        if self.on_counters is not None:
+            self.on_counters(name, payload)
+
+    # What the disk tells
+
+    def synced(self, ticket: int) -> None:
+        if self.replica is not None and not self.halted:
+            self.perform(self.replica.synced(self.now(), ticket))
+
+    def failed(self, reason: str) -> None:
+        """Nothing more can be vouched for: others go on without this member, and it steers on."""
+        self.note("disk_failed", why=reason)
+        self.halt("disk-failed", reason)
+
+    # What the replica wants
+
+    def perform(self, effects: list[Any]) -> None:
+        again: tuple[int, str] | None = None
+        for effect in effects:
+            match effect:
+                case Send():
+                    self.links.send(effect.to, Kind.REPLICA, messages.encode(effect.message))
+                case Write():
+                    if self.disk is not None:
+                        self.disk.write(effect)
+                case Applied():
+                    self.applied(effect)
+                case Restored():
+                    self.take_all(effect.state)
+                case Answer():
+                    future = self.asked.get(effect.ticket)
+                    if future is not None and not future.done():
+                        future.set_result(effect)
+                case words.Note():
+                    self.note(f"group_{effect.event}".replace("-", "_"), **effect.fields)
+                case Halt():
+                    if effect.reason is Reason.OLD_FOLDER and self.life.folder is not None:
+                        again = 0, Reason.OLD_FOLDER.value
+                    elif effect.reason is Reason.SUPERSEDED and not self.welcomed and not self.renewed:
+                        self.renewed, again = True, (time.time_ns(), "")
+                    else:
+                        self.halt(effect.reason.value, effect.why)
+        if again is not None:
+            self.start_again(*again)
+        self.arm()
+
+    def applied(self, effect: Applied[Any]) -> None:
+        command, outcome = decode(effect.entry.command), read_answer(effect.answer)
+        if outcome.done and outcome.changed:
+            if isinstance(command, Wishes):
+                self.at_desk.wishes(effect.state, outcome.changed, command.who, command.text)
+            else:
+                self.at_desk.permits(effect.state)
+        for listener in self.listeners:
+            listener(effect.state, command)
+
+    def take_all(self, state: Promises) -> None:
+        self.at_desk.all(state)
+        for listener in self.listeners:
+            listener(state, None)
+
+    def halt(self, reason: str, why: str) -> None:
+        """It takes no part until it is started anew by a person; steering goes on, and what stood stands."""
+        if self.halted is None:
+            self.halted = reason, why
+            self.note("group_halted", reason=reason, why=why)
+            for ticket, future in self.asked.items():
+                if not future.done():
+                    future.set_result(Answer(ticket, Reason.OUTCOME_UNKNOWN, b"", SECOND))
+
+    def start_again(self, least: int, void: str) -> None:
+        """A new life in the same process: blank, or under a newer incarnation."""
+        self.halted = "starting-again", void or "superseded before it was let in"
+        task = asyncio.get_running_loop().create_task(self.renew(least, void))
+        self.again.add(task)
+        task.add_done_callback(self.again.discard)
+
+    async def renew(self, least: int, void: str) -> None:
+        try:
+            await self.end_disk()
+            await self.live(least, void)
+        except Exception as error:  # The member must not be lost unheard: it says why, and stays out.
+            self.halted = None
+            self.halt("disk-failed", str(error)[:200])
+
+    # Time
+
+    def arm(self) -> None:
+        if self.replica is None or self.halted or self.stopping:
+            return
+        at = self.replica.next_at
+        if self.timer is not None and not self.timer.cancelled():
+            if self.timer_at == at:
+                return
+            self.timer.cancel()
+        self.timer_at = at
+        self.timer = asyncio.get_running_loop().call_later(
+            min(3600.0, max(0, at - self.now()) / SECOND), self.ring)
+
+    def ring(self) -> None:
+        self.timer = None
+        if self.replica is not None and not self.halted and not self.stopping:
+            self.perform(self.replica.due(self.now(), self.wall()))
--- a/ambershift/runtime/catalogue.py
+++ b/ambershift/runtime/catalogue.py
@@ -30,6 +30,7 @@
     kind: Kind
     note: str
     handler: str
+    grouped: bool = False  # Only where the settings name a group.
 
     @property
     def name(self) -> str:
@@ -105,6 +106,12 @@
     ours("show tables", "[<table>] "
                         "[json]", "the lines that the module ordered, and whether the relay answered",
          "show_tables"),
+    ours("show group", "[json]", "with a group: a line a member, its state, and whether it leads",
+         "show_group")._replace(grouped=True),
+    ours("show maintenance", "[json]", "with a group: a line a permit to drain, and how far it has come",
+         "show_maintenance")._replace(grouped=True),
+    ours("show interference", "[json]", "with a group: a line a pair, who slows whom on shared nodes",
+         "show_interference")._replace(grouped=True),
     # Changing
     same("disable "
          "server", f"{SERVER} | <backend>/*", "maintenance: shut out at every proxy as by a drain of the "
--- a/ambershift/runtime/changes.py
+++ b/ambershift/runtime/changes.py
@@ -112,6 +112,10 @@
 
 def tell_refused(scene: Scene, view: View, refused: Refused) -> str:
     """Why, in a sentence that names the reason and what it is about."""
+    return f"Refused ({refused.reason.value}): {why_refused(scene, view, refused)}."
+
+
+def why_refused(scene: Scene, view: View, refused: Refused) -> str:
     known = refused.server in view.world.listed
     server = scene.title(view, refused.server) if known else f"server {refused.server}"
     texts = {
@@ -125,4 +129,4 @@
         Reason.TOO_MANY_WAIT: "too many wishes are on their way; see 'show pending' and whether the relay "
                               "answers",
         Reason.STOPPING: "the coordinator ends; send it to the next one"}
-    return f"Refused ({refused.reason.value}): {texts[refused.reason]}."
+    return texts[refused.reason]
--- a/ambershift/runtime/client.py
+++ b/ambershift/runtime/client.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ambershift.runtime import catalogue
-from ambershift.runtime.execute import ONCE
+from ambershift.runtime.changing import ONCE
 from ambershift.runtime.grammar import GrammarError, quote, read
 
 DIAL_LIMIT, ANSWER_MOST, TRIES, PAUSE = 2.0, 64 << 20, 3, 0.1
--- a/ambershift/runtime/scene.py
+++ b/ambershift/runtime/scene.py
@@ -11,6 +11,7 @@
 from ambershift.admin.view import View
 from ambershift.admin.words import State
 from ambershift.door import Door
+from ambershift.runtime.common import Common
 from ambershift.terms import Names
 
 NO_ZONE = "-"  # The zone of servers for which the settings know none.
@@ -45,6 +46,7 @@
         self.connections, self.accepted = 0, 0
         self.base = dict[str, int]()
         self.met_base = dict[int, tuple[int, int]]()
+        self.common: Common | None = None  # What the group gives, where there is one.
 
     def view(self) -> View:
         return self.desk.view(self.now())
