--- a/ambershift/standins/breaker.py
+++ b/ambershift/standins/breaker.py
@@ -1,9 +1,11 @@
-"""A TCP breaker for one link: passes, swallows, holds, slows, resets at a byte, or leaves one end half open."""
+"""A TCP breaker for a link: passes, swallows, holds, slows, resets at a byte, or leaves an end half open."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Iterable, Sequence
 from enum import Enum, auto
 
@@ -37,6 +39,14 @@
             await self.changed.wait()
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End it by a reset, as what vanishes does: without the option it would close in good order."""
+    if end := writer.get_extra_info("socket"):
+        with contextlib.suppress(OSError):
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Pair:
     """One connection through the breaker: its near end dialled, its far end was dialled for it."""
 
@@ -52,7 +62,7 @@
     def reset(self) -> None:
         self.gone.set()
         for end in self.ends():
-            end.transport.abort()
+            reset(end)
 
 
 class Breaker:
@@ -104,7 +114,8 @@
                 pump.cancel()
             await asyncio.gather(*pumps, return_exceptions=True)
 
-    async def pump(self, pair: Pair, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: Way) -> None:
+    async def pump(self, pair: Pair, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: Way
+                   ) -> None:
         while True:
             with contextlib.suppress(OSError):
                 if data := await reader.read(PIECE):
@@ -149,7 +160,7 @@
         for pair in self.pairs:
             pair.lost = True
             if pair.far is not None:
-                pair.far.transport.abort()
+                reset(pair.far)
 
     def mend(self) -> None:
         """Connections that lost something end now, as real ones do once the others' resets get through."""
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,194 @@
+"""The stand-ins themselves: the breaker against an echo, and coordinators that share nothing in the rig."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from ambershift.standins.breaker import Breaker, Net
+from ambershift.standins.rig import Rig, own_host
+from ambershift.standins.world import server, until
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+Dial = Callable[[], Awaitable[Streams]]
+
+
+@contextlib.asynccontextmanager
+async def echoing() -> AsyncIterator[tuple[Net, list[bytes], Dial]]:
+    """Members a and b; b echoes, and `heard` is what came to it. The third gives a's connections to b."""
+    heard, host, writers = list[bytes](), own_host(), list[asyncio.StreamWriter]()
+
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writers.append(writer)
+        with contextlib.suppress(OSError):
+            while data := await reader.read(1 << 16):
+                heard.append(data)
+                writer.write(data)
+        writer.close()
+    net = Net(host, ["a", "b"], [7001, 7002], 7100)
+    echoes = await asyncio.start_server(echo, host, 7002)
+    await net.open()
+
+    async def dial() -> Streams:
+        streams = await asyncio.open_connection(host, net.breakers["a", "b"].port)
+        writers.append(streams[1])
+        return streams
+    try:
+        yield net, heard, dial
+    finally:
+        for writer in writers:
+            writer.transport.abort()
+        net.close()
+        echoes.close()
+
+
+def echo_test(act: Callable[[Net, list[bytes], Dial, Streams], Awaitable[None]]
+              ) -> None:
+    async def whole() -> None:
+        async with asyncio.timeout(20), echoing() as (net, heard, dial):
+            reader, writer = await dial()
+            writer.write(b"first")
+            assert await reader.readexactly(5) == b"first"
+            await act(net, heard, dial, (reader, writer))
+    asyncio.run(whole())
+
+
+def lost(net: Net) -> int:
+    return sum(way.swallowed for breaker in net.breakers.values() for way in (breaker.forward, breaker.back))
+
+
+@pytest.mark.parametrize("sender, receiver, comes", [("a", "b", False), ("b", "a", True)])
+def test_what_is_cut_one_way_is_lost_and_a_connection_that_lost_something_ends_at_the_mending(
+        sender: str, receiver: str, comes: bool) -> None:
+    async def act(net: Net, heard: list[bytes], dial: Dial, held: Streams) -> None:
+        net.cut(sender, receiver)
+        held[1].write(b"second")
+        await until(lambda: lost(net) == 6)
+        assert (b"second" in heard) == comes
+        new = await dial()  # Comes up at the breaker, and stays silent until the cut is over.
+        new[1].write(b"third")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(held[0].read(1), 0.05)
+        net.heal()
+        for reader, _ in (held, new):
+            with pytest.raises(ConnectionResetError):
+                await reader.readexactly(1)
+        reader, writer = await dial()
+        writer.write(b"fourth")
+        assert await reader.readexactly(6) == b"fourth" and b"third" not in heard
+    echo_test(act)
+
+
+def test_what_is_held_comes_out_in_order_and_whole() -> None:
+    async def act(net: Net, heard: list[bytes], dial: Dial, held: Streams) -> None:
+        net.hold("a", "b")
+        data = b"".join(at.to_bytes(4) for at in range(50_000))
+        sent = asyncio.create_task(send(held[1], data))
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(held[0].read(1), 0.05)
+        assert heard == [b"first"]
+        net.heal()
+        assert await held[0].readexactly(len(data)) == data
+        await sent
+    echo_test(act)
+
+
+async def send(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(data)
+    await writer.drain()
+
+
+@pytest.mark.parametrize("count", [1, 7, 300])
+def test_a_link_is_reset_at_the_byte_and_slowed_to_its_rate(count: int) -> None:
+    async def act(net: Net, heard: list[bytes], dial: Dial, held: Streams) -> None:
+        loop, size = asyncio.get_running_loop(), 2000
+        net.slow("b", "a", 10_000.0)
+        started = loop.time()
+        held[1].write(bytes(size))
+        await held[0].readexactly(size)
+        assert loop.time() - started >= 0.8 * (size - 256) / 10_000  # The last piece waits for nobody.
+        net.heal()
+        net.reset_at("a", "b", count)
+        before = sum(map(len, heard))
+        held[1].write(b"x" * 1000)
+        with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+            await held[0].readexactly(1000)
+        await until(lambda: net.breakers["a", "b"].resets == 1)
+        assert sum(map(len, heard)) - before <= count
+        reader, writer = await dial()
+        writer.write(b"again")
+        assert await reader.readexactly(5) == b"again"
+    echo_test(act)
+
+
+def test_a_half_open_link_tells_nothing_to_the_end_that_is_left() -> None:
+    async def act(net: Net, heard: list[bytes], dial: Dial, held: Streams) -> None:
+        net.half_open("a", "b")
+        for _ in range(3):
+            held[1].write(b"lost")
+            await held[1].drain()
+        await until(lambda: lost(net) == 12)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(held[0].read(1), 0.05)
+        assert heard == [b"first"]
+        fresh, writer = await dial()
+        writer.write(b"new")
+        assert await fresh.readexactly(3) == b"new"
+        net.heal()
+        with pytest.raises(ConnectionResetError):
+            await held[0].readexactly(1)
+    echo_test(act)
+
+
+def test_a_split_cuts_just_what_lies_between_its_parts() -> None:
+    names = ["a", "b", "c", "d", "e"]
+    net = Net("127.0.0.1", names, range(5), 9000)
+    net.split("ab", "c")
+    cut = {pair for pair in itertools.permutations(names, 2)
+           if any(way.mode.name == "SWALLOW" for way in net.ways(*pair))}
+    assert cut == set(itertools.permutations(names, 2)) - {("a", "b"), ("b", "a")}
+    assert isinstance(net.breakers["a", "c"], Breaker)
+    net.heal()
+    assert all(way.mode.name == "PASS" for pair in cut for way in net.ways(*pair))
+
+
+def test_coordinators_that_share_nothing_drain_at_a_word_and_take_over_proxies(tmp_path: Path) -> None:
+    async def whole() -> None:
+        async with asyncio.timeout(60), Rig(tmp_path, 2, grouped=False) as rig:
+            fleet = rig.fleet
+            await until(lambda: all(proxy.bound for proxy in fleet.proxies))
+            await until(lambda: all(one.flows for one in fleet.servers.values()), 20)
+            await rig.tell("n1", "disable server east/s-0")
+            mine = [proxy for proxy in fleet.proxies if proxy.member == "n1"]
+            others = [proxy for proxy in fleet.proxies if proxy.member == "n2"]
+            await until(lambda: not any(proxy.uses("s-0") for proxy in mine))
+            assert any(proxy.uses("s-0") for proxy in others)  # Nothing is held in common here.
+            at = rig.now()
+            await until(lambda: len(fleet.servers["s-2"].since(at)) > 20, 20)
+            steered = {proxy.number for proxy in mine}
+            assert not [flow for flow in fleet.servers["s-0"].since(at) if flow.proxy in steered]
+            # A list's word goes to all; the drain of n1 ends with n1, whose proxies n2 takes over.
+            rig.discovery.change(server(1, "draining"))
+            await until(lambda: fleet.unused("s-1"))
+            rig.members["n2"].stop()
+            with pytest.raises(AssertionError, match="within"):
+                await rig.eventually(lambda: rig.rows("n2", "show standing json"), 0.3, "an answer")
+            rig.members["n2"].go_on()
+            await rig.kill("n1")
+            assert {proxy.member for proxy in fleet.proxies} == {"n2"}
+            await until(lambda: all(proxy.uses("s-0") for proxy in fleet.proxies if proxy.zone == "east"))
+            assert fleet.unused("s-1") and not fleet.twice()
+            await rig.start("n1")
+            await until(lambda: rig.fleet.relays["n1"].followers, 20)
+            rig.spread()
+            await until(lambda: not any(proxy.fresh or not proxy.bound for proxy in fleet.proxies))
+            agents = [agent for agent in rig.agents if agent.member == "n1"]
+            before = sum(agent.reports for agent in agents)
+            await until(lambda: sum(agent.reports for agent in agents) > before + 1, 20)
+            assert await rig.members["n2"].terminate() == 0
+            assert not any(member.raw for member in rig.members.values()), rig.tail()
+            assert not any(member.logged("failure") for member in rig.members.values()), rig.tail()
+    asyncio.run(whole())
