--- /dev/null
+++ b/ambershift/modelcheck/mutants/collector.py
@@ -0,0 +1,83 @@
+"""Broken rows of collectors."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ambershift.coordinator.routing import peers
+from ambershift.modelcheck.mutants.words import Mutant
+
+
+def nothing(real: Any) -> Any:
+    return lambda *words: None
+
+
+def no_time(real: Any) -> Any:
+    return lambda self, now: None
+
+
+def one_bad_is_enough(real: Any) -> Any:
+    def unusable(self: peers.Conduct) -> bool:
+        self.bad += 1
+        return True
+    return unusable
+
+
+MUTANTS: tuple[Mutant, ...] = (
+    Mutant(
+        "bad-ones-add-up",
+        "collector",
+        "only-rubbish-ends-a-collector",
+        "good reports forgive nothing",
+        peers.Conduct,
+        "good",
+        nothing,
+    ),
+    Mutant(
+        "one-bad-is-enough",
+        "collector",
+        "only-rubbish-ends-a-collector",
+        "one bad message ends a collector",
+        peers.Conduct,
+        "unusable",
+        one_bad_is_enough,
+    ),
+    Mutant(
+        "first-goes",
+        "collector",
+        "the-silent-one-goes",
+        "the one that joined first goes, silent or not",
+        peers.Peers,
+        "heard",
+        nothing,
+    ),
+    Mutant(
+        "strangers-stay",
+        "collector",
+        "no-stranger-stays",
+        "a stranger has all the time it likes",
+        peers.Conduct,
+        "time_left",
+        no_time,
+    ),
+    Mutant(
+        "gone-ones-count",
+        "collector",
+        "a-zone-holds-three",
+        "who left is still in the row of its zone",
+        peers.Peers,
+        "left",
+        nothing,
+    ),
+    Mutant(
+        "harmless-order",
+        "collector",
+        "",
+        "who is heard goes behind by another way",
+        peers.Peers,
+        "heard",
+        lambda real: (
+            lambda self, link, zone: (self.joined[zone].remove(link), self.joined[zone].append(link))[0]
+        ),
+    ),
+)
--- /dev/null
+++ b/ambershift/modelcheck/mutants/policy.py
@@ -0,0 +1,68 @@
+"""Broken modules."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ambershift import interface as api
+from ambershift.modelcheck.mutants.words import Mutant
+from ambershift.policy import TableManager
+
+
+def drains_count_from_the_next_list(real: Any) -> Any:
+    def hear_list(self: TableManager, event: api.Listed) -> None:
+        """The grace counts from when the list speaks again, and not from when it told of the drain."""
+        drains = {one.server for one in event.entries if one.phase == api.Phase.DRAINING}
+        real(self, event._replace(entries=tuple(one for one in event.entries if one.server not in drains)))
+    return hear_list
+
+
+def keeps_the_old_table(real: Any) -> Any:
+    def join(self: TableManager, event: api.Joined) -> None:
+        held = self.proxies[event.proxy].table if event.proxy in self.proxies else None
+        real(self, event)
+        proxy = self.users[None].pop(event.proxy)
+        self.users[held][event.proxy], proxy.table = proxy, held
+    return join
+
+
+def room_for_all(real: Any) -> Any:
+    return lambda self, proxies, lines, part: real(self, proxies, lines, part) or True
+
+
+def tries_once_more(real: Any) -> Any:
+    def judge(self: TableManager) -> None:
+        real(self)
+        self.again = api.Again.ONCE
+    return judge
+
+
+MUTANTS: tuple[Mutant, ...] = (
+    Mutant(
+        "grace-from-the-wrong-time",
+        "policy",
+        "a-drained-server-receives-nothing",
+        "a drain counts from when the list speaks again",
+        TableManager,
+        "hear_list",
+        drains_count_from_the_next_list,
+    ),
+    Mutant(
+        "keeps-the-old-table",
+        "policy",
+        "a-proxy-is-not-left-with-nothing",
+        "who joins anew is thought to hold its table",
+        TableManager,
+        "join",
+        keeps_the_old_table,
+    ),
+    Mutant(
+        "tries-once-more",
+        "policy",
+        "no-level-lets-a-flow-run-twice",
+        "levels allow a try after a time-out",
+        TableManager,
+        "judge",
+        tries_once_more,
+    ),
+)
