--- a/ambershift/standins/fleet.py
+++ b/ambershift/standins/fleet.py
@@ -56,10 +56,15 @@
         self.number, self.zone = number, zone
         self.member = ""  # Whose relay it is joined to; "" while it is joined to none.
         self.fresh = True
-        self.bound = dict[str, str]()
+        self.bound = dict[str, tuple[str, str]]()  # Whose table, as each coordinator numbers its own.
         self.lines = defaultdict[str, dict[str, float]](dict)
         self.shut = set[str]()
 
+    @property
+    def steered(self) -> bool:
+        """The coordinator that it is joined to has bound it."""
+        return bool(self.bound) and all(of == self.member for of, _ in self.bound.values())
+
     def uses(self, server: str) -> bool:
         return server not in self.shut and any(lines.get(server) for lines in self.lines.values())
 
@@ -106,7 +111,7 @@
                     for proxy in users:
                         if proxy.number == int(words[0]):
                             for group in self.groups if words[2] == EVERY else words[2].split("+"):
-                                proxy.bound[group] = words[1]
+                                proxy.bound[group] = member, words[1]
                                 proxy.lines[group] = dict(self.tables[member, words[1]])
                             # From here on it follows this coordinator's withdrawals alone.
                             for server in proxy.shut | self.withdrawn[member]:
@@ -121,8 +126,9 @@
     def line(self, member: str, words: list[str], users: list[Proxy]) -> None:
         tables = [words[0]] if words[0] != EVERY else [at for of, at in self.tables if of == member]
         for table in tables:
-            held = [self.tables[member, table], *(
-                proxy.lines[group] for proxy in users for group, at in proxy.bound.items() if at == table)]
+            key = member, table
+            held = [self.tables[key], *(
+                proxy.lines[group] for proxy in users for group, at in proxy.bound.items() if at == key)]
             for lines in held:
                 if len(words) == 1:
                     lines.clear()
--- a/ambershift/standins/keeping.py
+++ b/ambershift/standins/keeping.py
@@ -23,7 +23,7 @@
         self.most_out = 0
         self.least = float("inf")
         self.drains = dict[str, int]()  # How often a server went from used by all to shut out by any.
-        self.before = set[str]()
+        self.before, self.broken = set[str](), list[str]()
         fleet.watchers.append(self.look)
 
     def look(self) -> None:
@@ -34,13 +34,14 @@
         cold = {name for name, one in self.fleet.servers.items() if now < one.warm_at}
         left = self.weight * len(self.fleet.servers.keys() - out - cold)
         self.most_out, self.least = max(self.most_out, len(out)), min(self.least, left)
+        found = list[str]()
         if len(out) > self.out_most:
-            which = ", ".join(sorted(out))
-            self.breaches.append(Breach(now, f"{len(out)} out, {self.out_most} may be: {which}"))
+            found.append(f"{len(out)} out, {self.out_most} may be: {', '.join(sorted(out))}")
         if left < self.capacity:
             gone = ", ".join(sorted(out | cold))
-            self.breaches.append(Breach(
-                now, f"{left:g} warm and usable, {self.capacity:g} agreed; not: {gone}"))
+            found.append(f"{left:g} warm and usable, {self.capacity:g} agreed; not: {gone}")
+        self.breaches += [Breach(now, what) for what in found if what not in self.broken]
+        self.broken = found
 
     def twice(self) -> list[str]:
         return sorted(server for server, count in self.drains.items() if count > 1)
--- a/ambershift/standins/rig.py
+++ b/ambershift/standins/rig.py
@@ -21,7 +21,7 @@
 from ambershift.standins.world import SETTINGS, listing, server, until
 
 SETTINGS_OF_RIG: dict[str, Any] = {**SETTINGS, "limits": {"may_probe": False, "dial_timeout": 250.0}}
-RELAY, AGENTS, TALK, DISCOVERY, BREAKERS = 6400, 7300, 7100, 8500, 20000
+RELAY, AGENTS, TALK, CLONE, DISCOVERY, BREAKERS = 6400, 7300, 7100, 7190, 8500, 20000
 TURNS = itertools.count()
 
 
@@ -126,6 +126,18 @@
     async def start(self, name: str) -> None:
         await self.members[name].start()
 
+    def clone(self, name: str) -> Member:
+        """A further process that says it is this member, with a copy of its folder and a place of its own to
+        listen; the others' links go to the real one."""
+        real, at = self.members[name], self.names.index(name)
+        others = f'listen = "{self.host}:{TALK + at}"', f'listen = "{self.host}:{CLONE}"'
+        configuration = {**real.configuration, "listen": f"{self.host}:{CLONE + 1}"}
+        clone = Member(name, self.place / f"{name}-clone", configuration, real.group.replace(*others),
+                       real.extra, real.folder is not None)
+        if real.folder:
+            clone.put_back(real.keep_copy("cloned"))
+        return clone
+
     def spread(self) -> None:
         """The proxies in turn over all that run, as they were at the beginning."""
         names = self.running()
--- /dev/null
+++ b/tests/test_group_processes.py
@@ -0,0 +1,354 @@
+"""Processes of one group with faults between them: what was promised is held, and nothing stale is served."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ambershift.runtime.client import ClientError, Reply
+from ambershift.standins.histories import History
+from ambershift.standins.rig import Rig
+
+Act = Callable[[Rig], Awaitable[None]]
+ROUNDS = 10
+pytestmark = pytest.mark.timeout(150)
+
+
+def group(place: Path, act: Act, count: int = 3, **words: Any) -> None:
+    async def whole() -> None:
+        async with asyncio.timeout(140), Rig(place, count, **words) as rig:
+            await rig.settled()
+            await act(rig)
+            for member in rig.members.values():
+                failures = [one for one in member.log if one.get("event") == "failure"]
+                assert not member.raw and not failures, (failures, rig.tail())
+    asyncio.run(whole())
+
+
+def title(rig: Rig, number: int) -> str:
+    one = rig.discovery.now["servers"][number]
+    return f"{one['zone']}/{one['id']}"
+
+
+async def standing(rig: Rig, name: str) -> dict[str, str]:
+    """What a member says is wished, by a read that is not stale."""
+    return {row["server"]: row["wish"] for row in await rig.rows(name, "show standing json")}
+
+
+def senders(rig: Rig, since: float) -> set[int]:
+    """The proxies whose flows came to any server since then."""
+    return {flow.proxy for one in rig.fleet.servers.values() for flow in one.since(since)}
+
+
+async def holds(rig: Rig, names: list[str], server: str, wish: str, limit: float = 20.0) -> None:
+    async def ask() -> bool:
+        found = [await standing(rig, name) for name in names]
+        return all(wish in one.get(server, "") for one in found)
+    await rig.eventually(ask, limit, f"{wish} of {server} held by {names}")
+
+
+async def refused(rig: Rig, name: str, command: str, limit: float = 10.0) -> str:
+    """The reason by which it is refused."""
+    async def ask() -> str:
+        with contextlib.suppress(ClientError):
+            reply = await rig.say(name, command)
+            return reply.text if reply.failed and "Refused (" in reply.text else ""
+        return ""
+    found: str = await rig.eventually(ask, limit, f"'{command}' refused by {name}")
+    return found.partition("Refused (")[2].partition(")")[0]
+
+
+async def operated(rig: Rig, act: Callable[[History], Awaitable[None]], count: int = 3,
+                   places: Callable[[], list[str]] | None = None) -> History:
+    """Operators at all members that run, while the act goes on; what they saw must have one order."""
+    history = History(rig, [title(rig, at) for at in range(4, 8)])
+    over, members = asyncio.Event(), places or rig.running
+    tasks = [asyncio.create_task(history.operator(
+        f"op{at}", random.Random(at), lambda: not over.is_set(), members)) for at in range(count)]
+    try:
+        await act(history)
+    finally:
+        over.set()
+        await asyncio.gather(*tasks)
+    await rig.settled()
+    for name in rig.running():
+        assert await history.read("last", name, 10.0), rig.tail()
+    violation = history.violation()
+    assert violation is None, "\n".join(violation.lines())
+    assert history.counts().get("once-done", 0) >= 5, history.counts()
+    return history
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_promise_is_held_though_who_acknowledged_it_is_lost_with_its_folder_at_once(
+        tmp_path: Path, seed: int) -> None:
+    async def act(rig: Rig) -> None:
+        chance, promised = random.Random(seed), dict[str, str]()
+        for turn in range(ROUNDS):
+            name = await rig.leader() if chance.random() < 0.5 else chance.choice(rig.names)
+            server, value = title(rig, chance.randrange(8)), f"{turn + 1}.{seed + 1}"
+            reply = await rig.say(name, f"set weight {server} {value}")
+            await rig.kill(name, wipe=True)
+            assert not reply.failed, reply
+            promised[server] = f"weight={value}"
+            rest = rig.running()
+            for held, wish in promised.items():
+                await holds(rig, rest, held, wish)
+            await rig.start(name)
+            await rig.settled()
+            await holds(rig, [name], server, promised[server])
+    group(tmp_path, act)
+
+
+def test_a_leader_cut_off_with_its_clients_refuses_by_name_while_the_rest_goes_on(tmp_path: Path) -> None:
+    async def act(rig: Rig) -> None:
+        async def cuts(history: History) -> None:
+            for turn in range(2):
+                leader = await rig.leader()
+                rest = [name for name in rig.names if name != leader]
+                rig.net.split([leader], rest)
+                assert await rig.leader(rest) in rest
+                await rig.tell(rest[turn], f"set weight {title(rig, 0)} 7{turn}")
+                assert await refused(rig, leader, f"disable server {title(rig, 1)}") == "no-majority"
+                assert await refused(rig, leader, "show standing json") == "no-majority"
+                # Steering goes on there from what it holds: its proxies still send.
+                mine = {proxy.number for proxy in rig.fleet.proxies if proxy.member == leader}
+                at = rig.now()
+
+                async def steered(mine: set[int] = mine, at: float = at) -> bool:
+                    return bool(mine & senders(rig, at))
+                await rig.eventually(steered, 10, "flows of the proxies of who is cut off")
+                rig.net.heal()
+                await rig.settled()
+                await holds(rig, rig.names, title(rig, 0), f"weight=7{turn}")
+            assert title(rig, 1) not in await standing(rig, rig.names[0])
+        await operated(rig, cuts)
+    group(tmp_path, act)
+
+
+def test_a_group_cut_in_three_promises_nothing_and_goes_on_once_healed(tmp_path: Path) -> None:
+    async def act(rig: Rig) -> None:
+        async def cuts(history: History) -> None:
+            await rig.tell("n1", f"set weight {title(rig, 0)} 5")
+            rig.net.split(["n1", "n2"], ["n3", "n4"], ["n5"])
+            for name in rig.names:
+                assert await refused(rig, name, f"set weight {title(rig, 0)} 6") == "no-majority"
+                assert await refused(rig, name, "show standing json") == "no-majority"
+            rig.net.heal()
+            await rig.tell("n5", f"set weight {title(rig, 1)} 7")
+            await rig.settled()
+            for name in rig.names:
+                found = await standing(rig, name)
+                assert "weight=5" in found[title(rig, 0)] and "weight=7" in found[title(rig, 1)]
+        await operated(rig, cuts)
+    group(tmp_path, act, 5)
+
+
+@pytest.mark.parametrize("way", ["from", "to", "held", "slow", "half"])
+def test_links_that_fail_in_part_stale_nothing_and_lose_nothing(tmp_path: Path, way: str) -> None:
+    async def act(rig: Rig) -> None:
+        async def cuts(history: History) -> None:
+            leader = await rig.leader()
+            for other in [name for name in rig.names if name != leader][:2 if way in ("slow", "half") else 1]:
+                match way:
+                    case "from":
+                        rig.net.cut(leader, other)
+                    case "to":
+                        rig.net.cut(other, leader)
+                    case "held":
+                        rig.net.hold(leader, other)
+                        rig.net.hold(other, leader)
+                    case "slow":
+                        rig.net.slow(leader, other, 4000.0)
+                    case "half":
+                        rig.net.half_open(leader, other)
+                        rig.net.reset_at(other, leader, 100)
+            count = history.counts().get("once-done", 0)
+
+            async def more() -> bool:
+                return history.counts().get("once-done", 0) >= count + 10
+            await rig.eventually(more, 30, "operations done in spite of it")
+            rig.net.heal()
+        await operated(rig, cuts)
+    group(tmp_path, act)
+
+
+def test_a_member_stopped_for_longer_than_all_timers_serves_nothing_stale_after(tmp_path: Path) -> None:
+    async def act(rig: Rig) -> None:
+        async def stops(history: History) -> None:
+            leader = await rig.leader()
+            rest = [name for name in rig.names if name != leader]
+            rig.members[leader].stop()
+            now = await rig.leader(rest)
+            await rig.tell(now, f"set weight {title(rig, 0)} 9")
+            rig.members[leader].go_on()
+            # Its first answer after it goes on, whatever it still takes itself for.
+            with contextlib.suppress(ClientError):
+                reply = await rig.say(leader, "show standing json")
+                assert reply.failed or "weight=9" in reply.text
+            await rig.settled()
+            await holds(rig, rig.names, title(rig, 0), "weight=9")
+        await operated(rig, stops)
+    group(tmp_path, act)
+
+
+def test_a_token_asked_again_at_another_member_gets_its_first_answer_and_acts_once(tmp_path: Path) -> None:
+    async def act(rig: Rig) -> None:
+        server = title(rig, 0)
+        for turn in range(3):
+            first = await rig.leader() if turn == 0 else rig.names[turn]
+            command = f"once t{turn} set weight {server} {turn + 2}"
+            asked = asyncio.create_task(asked_at(rig, first, command))
+            if turn:  # Once with an answer; then lost on the way, at whatever point it was.
+                await asyncio.sleep(0)
+            else:
+                assert not (await asked).failed
+            await rig.kill(first, wipe=True)
+            with contextlib.suppress(ClientError):
+                await asked
+            second = rig.running()[0]
+            await rig.tell(second, f"set weight {title(rig, 2)} {turn + 2}")
+            reply = await again(rig, second, command)
+            assert not reply.failed, reply
+            await holds(rig, rig.running(), server, f"weight={turn + 2}")
+            # A contrary word, and then the old one anew: it must not act a second time.
+            await rig.tell(second, f"set weight {server} 99")
+            assert (await again(rig, rig.running()[-1], command)).text == reply.text
+            await holds(rig, rig.running(), server, "weight=99")
+            assert "token" in (await again(rig, second, f"once t{turn} disable server {server}")).text
+            await rig.start(first)
+            await rig.settled()
+    group(tmp_path, act)
+
+
+async def asked_at(rig: Rig, name: str, command: str) -> Reply:
+    return await rig.say(name, command)
+
+
+async def again(rig: Rig, name: str, command: str) -> Reply:
+    """Until there is an answer that tells its outcome."""
+    async def ask() -> Reply | None:
+        with contextlib.suppress(ClientError):
+            reply = await rig.say(name, command)
+            unsettled = "(no-majority)" in reply.text or "(outcome-unknown)" in reply.text
+            return None if unsettled else reply
+        return None
+    found: Reply = await rig.eventually(ask, 20, f"an outcome of '{command}'")
+    return found
+
+
+def test_two_operators_at_two_members_can_t_drain_the_last_two_warm_servers(tmp_path: Path) -> None:
+    async def act(rig: Rig) -> None:
+        fleet, names = rig.fleet, rig.names
+        for at in (0, 2, 4, 6):
+            await rig.tell(names[at % 3], f"disable server {title(rig, at)}")
+        for at in (1, 3):
+            await rig.tell(names[at % 3], f"disable server {title(rig, at)}")
+        await asyncio.gather(*(again(rig, name, f"disable server {title(rig, at)}")
+                               for name, at in zip(names, (5, 7), strict=False)))
+        found = [await standing(rig, name) for name in names]
+        assert found[0] == found[1] == found[2]
+
+        async def served() -> bool:
+            at = rig.now()
+            await asyncio.sleep(1.0)
+            return senders(rig, at) == {proxy.number for proxy in fleet.proxies}
+        await rig.eventually(served, 20, "every proxy still has where to send")
+    group(tmp_path, act)
+
+
+def test_an_old_folder_put_back_is_refused_by_name_and_set_aside(tmp_path: Path) -> None:
+    async def act(rig: Rig) -> None:
+        server, name = title(rig, 0), [one for one in rig.names if one != await rig.leader()][0]
+        member = rig.members[name]
+        await rig.tell(name, f"set weight {server} 3")
+        await rig.settled()
+        copy = member.keep_copy("old")
+        for value in range(4, 9):
+            await rig.tell(name, f"set weight {server} {value}")
+        await rig.kill(name)
+        member.put_back(copy)
+        await rig.start(name)
+        await rig.settled()
+        await holds(rig, rig.names, server, "weight=8")
+        assert any("old-folder" in str(line) for line in member.log), rig.tail()
+        aside = [one for one in member.place.rglob("*") if one.is_file() and "folder" in str(one)]
+        assert len(aside) > len(list(member.folder.rglob("*"))) if member.folder else False, aside
+    group(tmp_path, act)
+
+
+def test_a_member_cloned_with_the_same_name_is_refused_by_name(tmp_path: Path) -> None:
+    async def act(rig: Rig) -> None:
+        leader = await rig.leader()
+        name = next(one for one in rig.names if one != leader)
+        clone = rig.clone(name)
+        await clone.start()
+        try:
+            async def named() -> bool:
+                return any("cloned" in str(line) or "superseded" in str(line)
+                           for one in (clone, *rig.members.values()) for line in one.log)
+            await rig.eventually(named, 30, "a clone refused by name")
+            await rig.tell(leader, f"set weight {title(rig, 0)} 3")
+            await holds(rig, [leader], title(rig, 0), "weight=3")
+        finally:
+            await clone.kill()
+    group(tmp_path, act)
+
+
+@pytest.mark.parametrize("disk", [True, False])
+def test_members_lost_one_after_the_other_lose_nothing_with_or_without_a_disk(
+        tmp_path: Path, disk: bool) -> None:
+    async def act(rig: Rig) -> None:
+        async def losses(history: History) -> None:
+            for name in rig.names:
+                await rig.tell(name, f"set weight {title(rig, 0)} {int(name[1]) + 10}")
+                await rig.kill(name, wipe=True)
+                await rig.tell(rig.running()[0], f"set weight {title(rig, 1)} {int(name[1]) + 20}")
+                await rig.start(name)
+                await rig.settled()
+        await operated(rig, losses)
+        await holds(rig, rig.names, title(rig, 0), "weight=13")
+        if disk:
+            for name in rig.names:
+                await rig.members[name].kill()
+            await asyncio.gather(*(rig.start(name) for name in rig.names))
+            await rig.settled()
+        await holds(rig, rig.names, title(rig, 1), "weight=23")
+    group(tmp_path, act, disk=disk)
+
+
+def test_a_drain_at_one_member_holds_at_every_proxy_over_a_take_over(tmp_path: Path) -> None:
+    async def act(rig: Rig) -> None:
+        fleet = rig.fleet
+
+        async def bound() -> bool:
+            return all(proxy.steered for proxy in fleet.proxies)
+        await rig.eventually(bound, 20, "all proxies bound")
+        await rig.tell("n2", f"disable server {title(rig, 0)}")
+
+        async def drained() -> bool:
+            return fleet.unused("s-0")
+        await rig.eventually(drained, 20, "drained at the proxies of all")
+        at = rig.now()
+        first = await rig.leader()
+        await rig.kill(first, wipe=True)
+        await rig.start(first)
+        await rig.settled()
+        rig.spread()
+
+        async def moved() -> bool:
+            return all(proxy.steered for proxy in fleet.proxies) and all(
+                len(one.since(at)) > 5 for name, one in fleet.servers.items() if name != "s-0")
+        await rig.eventually(moved, 20, "flows over all that are in service")
+        assert not fleet.servers["s-0"].since(at) and not fleet.let_in("s-0", at)
+        await rig.tell("n3", f"enable server {title(rig, 0)}")
+
+        async def back() -> bool:
+            users = [proxy for proxy in fleet.proxies if proxy.zone == fleet.servers["s-0"].zone]
+            return all(proxy.uses("s-0") for proxy in users)
+        await rig.eventually(back, 20, "let in again by all")
+    group(tmp_path, act)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -8,7 +8,13 @@
 
 import pytest
 
+from ambershift.groupsim.history import Outcome
+from ambershift.runtime.client import Reply
 from ambershift.standins.breaker import Breaker, Net
+from ambershift.standins.fleet import Fleet
+from ambershift.standins.histories import judge, weight, wished
+from ambershift.standins.keeping import Keeper
+from ambershift.standins.relay import Relay
 from ambershift.standins.rig import Rig, own_host
 from ambershift.standins.world import server, until
 
@@ -159,7 +165,7 @@
     async def whole() -> None:
         async with asyncio.timeout(60), Rig(tmp_path, 2, grouped=False) as rig:
             fleet = rig.fleet
-            await until(lambda: all(proxy.bound for proxy in fleet.proxies))
+            await until(lambda: all(proxy.steered for proxy in fleet.proxies))
             await until(lambda: all(one.flows for one in fleet.servers.values()), 20)
             await rig.tell("n1", "disable server east/s-0")
             mine = [proxy for proxy in fleet.proxies if proxy.member == "n1"]
@@ -184,7 +190,7 @@
             await rig.start("n1")
             await until(lambda: rig.fleet.relays["n1"].followers, 20)
             rig.spread()
-            await until(lambda: not any(proxy.fresh or not proxy.bound for proxy in fleet.proxies))
+            await until(lambda: all(proxy.steered for proxy in fleet.proxies))
             agents = [agent for agent in rig.agents if agent.member == "n1"]
             before = sum(agent.reports for agent in agents)
             await until(lambda: sum(agent.reports for agent in agents) > before + 1, 20)
@@ -192,3 +198,66 @@
             assert not any(member.raw for member in rig.members.values()), rig.tail()
             assert not any(member.logged("failure") for member in rig.members.values()), rig.tail()
     asyncio.run(whole())
+
+
+def fleet_of(count: int, clock: list[float]) -> Fleet:
+    fleet = Fleet(["east", "west"], ["play"], [server(at) for at in range(count)], 4, 1.0, 5.0,
+                  lambda: clock[0], 1)
+    for member, proxies in (("n1", (0, 1)), ("n2", (2, 3))):
+        fleet.add(member, Relay())
+        for number in proxies:
+            fleet.move(fleet.proxies[number], member)
+        fleet.apply(member, [*(f"put,1,s-{at},1" for at in range(count)),
+                             *(f"attach,{number},1,*" for number in proxies)], list(proxies))
+    return fleet
+
+
+def test_the_keeper_finds_each_moment_at_which_an_agreement_does_not_hold() -> None:
+    clock = [0.0]
+    keeper = Keeper(fleet := fleet_of(6, clock), capacity=4.0, out_most=2)
+    for at, member, order in ((1.0, "n1", "eject,s-0"), (1.1, "n2", "eject,s-0"), (2.0, "n2", "eject,s-1")):
+        clock[0] = at
+        fleet.apply(member, [order], [0, 1, 2, 3])
+    assert not keeper.breaches and (keeper.most_out, keeper.least) == (2, 4.0)
+    clock[0] = 3.0
+    fleet.apply("n1", ["uneject,s-0", "eject,s-2"], [0, 1])  # s-0 is still out at the proxies of n2.
+    assert [one.what[:5] for one in keeper.breaches] == ["3 out", "3 war"]
+    fleet.apply("n2", ["uneject,s-0", "uneject,s-1"], [2, 3])  # Back, and still cold.
+    assert keeper.breaches[-1].what == "3 warm and usable, 4 agreed; not: s-0, s-1, s-2"
+    found, clock[0] = len(keeper.breaches), 4.1
+    fleet.apply("n1", ["eject,s-1"], [0, 1])
+    assert len(keeper.breaches) == found and keeper.twice() == ["s-1"]
+    fleet.apply("n2", ["eject,s-0"], [2, 3])
+    assert keeper.twice() == ["s-0", "s-1"] and keeper.breaches[found].what.startswith("3 out")
+
+
+def test_a_proxy_goes_on_with_what_it_holds_until_another_coordinator_binds_it() -> None:
+    clock = [0.0]
+    fleet = fleet_of(4, clock)
+    fleet.apply("n1", ["eject,s-0"], [0, 1])
+    fleet.died("n1")
+    fleet.take_over("n1", ["n2"])
+    assert {proxy.member for proxy in fleet.proxies} == {"n2"}
+    assert [proxy.uses("s-0") for proxy in fleet.proxies] == [False, False, True, True]
+    assert not fleet.unused("s-0") and fleet.out() == {"s-0"}
+    fleet.apply("n1", ["put,1,s-1,0"], [0, 1])  # Who is gone steers nobody any more.
+    assert fleet.proxies[0].uses("s-1")
+    fleet.apply("n2", ["eject,s-3", "attach,0,1,*"], [0, 2, 3])
+    assert fleet.proxies[0].shut == {"s-3"} and fleet.proxies[1].shut == {"s-0"}
+    assert [(one.proxy, one.server) for one in fleet.shuts if not one.out] == [(0, "s-0")]
+    fleet.apply("n2", ["put,1,s-1,0", "eject,s-0", "wipe,2"], [0, 1, 2, 3])
+    assert fleet.unused("s-0") and not fleet.proxies[0].uses("s-1") and fleet.proxies[1].uses("s-1")
+    clock[0] = 5.0
+    for _ in range(5):
+        fleet.tick(1.0)
+    assert not fleet.servers["s-0"].flows and fleet.servers["s-2"].flows
+
+
+def test_answers_are_judged_by_what_they_tell_of_the_outcome() -> None:
+    told = {"Refused (no-majority): come back in 500 ms.": Outcome.REFUSED,
+            "No such server.": Outcome.REFUSED,
+            "Refused (outcome-unknown): ask again.": Outcome.UNKNOWN}
+    assert {text: judge(Reply(text, 3)) for text in told} == told
+    assert judge(Reply("", None)) is Outcome.DONE is judge(Reply("Done.", 6))
+    assert wished("ready,weight=" + weight(137)) == weight(137) == "1.37" and wished("maint") is None
+    assert len({weight(at) for at in range(1, 25_601)}) == 25_600 and float(weight(25_600)) == 256
