--- a/ambershift/standins/schedules.py
+++ b/ambershift/standins/schedules.py
@@ -1,4 +1,4 @@
-"""Random schedules of faults for the rig: chosen from a seed, carried out one after the other, then healed."""
+"""Random schedules of faults for the rig: drawn from a seed, carried out one by one, then mended."""
 
 from __future__ import annotations
 
@@ -6,15 +6,16 @@
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import NamedTuple
 
 from ambershift.standins.histories import History
 from ambershift.standins.rig import Rig
 
 STEPS_MOST, PAUSE_MOST = 6, 1.5
-KINDS = {"kill": 2.0, "kill wiped": 3.0, "restart": 5.0, "stop": 2.0, "go on": 4.0, "cut one way": 2.0, "cut": 2.0,
-         "isolate": 2.0, "split": 1.0, "hold": 1.0, "slow": 1.0, "reset at": 2.0, "half open": 1.0, "heal": 3.0,
-         "old folder": 1.0}
+KINDS = {"kill": 2.0, "kill wiped": 3.0, "restart": 5.0, "stop": 2.0, "go on": 4.0, "cut one way": 2.0,
+         "cut": 2.0, "isolate": 2.0, "split": 1.0, "hold": 1.0, "slow": 1.0, "reset at": 2.0,
+         "half open": 1.0, "heal": 3.0, "old folder": 2.0}
 
 
 class Fault(NamedTuple):
@@ -48,7 +49,7 @@
         self.rig, self.history = rig, history
         self.blank = set[str]()  # Started without a folder, and not yet back to normal.
         self.done, self.counts = list[str](), Counter[str]()
-        self.copies = dict[str, object]()
+        self.copies = dict[str, Path]()
 
     async def carry_out(self, fault: Fault) -> None:
         await asyncio.sleep(fault.after)
@@ -92,12 +93,18 @@
         member = self.rig.members[name]
         if not member.alive:
             return False
+        old = kind == "old folder" and member.folder is not None
+        if old and name not in self.copies:
+            self.copies[name] = member.keep_copy("old")
+            return True
         wiped = kind == "kill wiped" or member.folder is None
-        if wiped and not await self.spare(name):
+        if (wiped or old) and not await self.spare(name):
             return False
-        if wiped:
+        if wiped or old:
             self.blank.add(name)
         await self.rig.kill(name, wipe=wiped)
+        if old:
+            member.put_back(self.copies.pop(name))
         return True
 
     async def spare(self, name: str) -> bool:
@@ -130,7 +137,8 @@
                 await self.rig.start(name)
 
 
-async def run(rig: Rig, faults: list[Fault], seed: int, operators: int = 3) -> tuple[list[str], Runner, History]:
+async def run(rig: Rig, faults: list[Fault], seed: int, operators: int = 3
+              ) -> tuple[list[str], Runner, History]:
     """Everything that broke a rule, in words; empty where none did."""
     history = History(rig, [f"{one['zone']}/{one['id']}" for one in rig.discovery.now["servers"][:4]])
     runner, over, broken = Runner(rig, history), asyncio.Event(), list[str]()
--- a/benchmarks/group_processes.py
+++ b/benchmarks/group_processes.py
@@ -69,10 +69,11 @@
             if result.broken:
                 failed.append(result)
                 print(f"\nseed {result.seed} broke a rule:")
-                print("\n".join(f"  {line}" for line in [*result.broken, "schedule:", *result.trace]), flush=True)
+                for line in (*result.broken, "schedule:", *result.trace):
+                    print(f"  {line}", flush=True)
             if done % 20 == 0:
-                print(f"{done} of {count} schedules, {len(failed)} failed, {time.monotonic() - started:.0f} s",
-                      flush=True)
+                took = time.monotonic() - started
+                print(f"{done} of {count}, {len(failed)} failed, {took:.0f} s", flush=True)
     await asyncio.gather(*(worker() for _ in range(jobs)))
     print(f"\n{count} schedules from seed {first}, {len(failed)} failed, {time.monotonic() - started:.0f} s")
     print("faults:", ", ".join(f"{kind} {number}" for kind, number in sorted(faults.items())))
@@ -84,6 +85,6 @@
     words = argparse.ArgumentParser(prog="python -m benchmarks.group_processes", description=__doc__)
     words.add_argument("--schedules", type=int, default=1000)
     words.add_argument("--jobs", type=int, default=2, help="Groups that run at the same time.")
-    words.add_argument("--seed", type=int, default=1, help="The first schedule's; each next one has one more.")
+    words.add_argument("--seed", type=int, default=1, help="The first one's; each next one has one more.")
     told = words.parse_args()
     sys.exit(asyncio.run(main(told.schedules, told.jobs, told.seed)))
