--- a/tests/test_group_disk.py
+++ b/tests/test_group_disk.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 import pytest
@@ -43,6 +43,8 @@
     [write(8, view=3, committed=9), write(9, view=3, new=entries(13, 13, 3))],
     [write(10, view=4, snapshot=Snapshot(20, 4, b"all", ()), new=entries(21, 22, 4), committed=21)],
     [write(11, view=4, new=entries(23, 30, 4))],
+    [write(12, view=4, committed=23)],
+    [write(13, view=4, new=entries(31, 31, 4), committed=24)],
 ]
 WRITES = [one for batch in BATCHES for one in batch]
 
@@ -77,7 +79,7 @@
             self.broken = True
             if not files.crash_at:
                 with pytest.raises(DiskError):  # Not taken back by itself.
-                    folder.append([WRITES[0]])
+                    folder.append([write(99, committed=1)])
 
     def held(self, opened: Opened) -> int:
         """How many of the writes the folder holds."""
@@ -155,7 +157,7 @@
         size = len(SimFiles.read(Run(SimFiles()).files, name))
         for at in range(size if name == "log" else 80):
             for change in ("flip", "cut", "zero"):
-                for crash in (0, CALLS - 1, CALLS - 3):  # Whole; its last mark, its last append torn.
+                for crash in (0, CALLS, CALLS - 3):  # Whole; its last mark, its last append torn.
                     def spoil(files: dict[str, bytearray], change: str = change, at: int = at,
                               name: str = name) -> None:
                         if change == "cut":
@@ -181,7 +183,7 @@
 
 def test_other_files_are_set_aside_by_name() -> None:
     newer = records.preamble(99, 0, records.VERSION + 1)
-    older = bytes(Run(SimFiles(crash_at=CALLS - 12)).files.table["log"].seen)
+    older = bytes(Run(SimFiles(crash_at=CALLS - 20)).files.table["log"].seen)
 
     def torn(files: dict[str, bytearray]) -> None:
         log = records.preamble(99, 0)
@@ -258,29 +260,35 @@
         for one in WRITES:
             disk.write(one)
         disk.start()
-        await heard.until(11)
-        assert disk.syncs == 1 and disk.close() and heard.told == [11]
+        await heard.until(13)
+        assert disk.syncs == 1 and disk.close() and heard.told == [13]
         again = Folder(RealFiles(f"{tmp_path}/n1"), "archive", "n1").open(WALL)
-        assert again.saved is not None and again.saved.entries == entries(21, 30, 4)
+        assert again.saved is not None and again.saved.entries == entries(21, 31, 4)
         assert again.incarnation == WALL + 1
 
     asyncio.run(scene())
 
 
-@pytest.mark.parametrize("full", [False, True])
-def test_a_failed_or_hanging_disk_is_told_once_and_nothing_after(full: bool) -> None:
+@pytest.mark.parametrize(("full", "fails"), [(False, True), (True, False), (True, True)])
+def test_a_failed_or_hanging_disk_is_told_once_and_nothing_after(full: bool, fails: bool) -> None:
     async def scene() -> None:
-        files, hold = SimFiles(), threading.Event()
+        files, entered, hold = SimFiles(), threading.Event(), threading.Event()
         folder, heard = Folder(files, "archive", "n1"), Heard()
         folder.open(WALL)
         disk = Disk(folder, heard, asyncio.get_running_loop(), queue_most=4)
-        if full:
-            inner = folder.append
-            folder.append = lambda writes: (hold.wait(20), inner(writes))[1]  # type: ignore[method-assign]
-        else:
-            files.fail_at, files.code = files.calls + 1, errno.ENOSPC
+        inner = folder.append
+
+        def held(writes: Sequence[Write]) -> None:
+            entered.set()
+            hold.wait(20)
+            inner(writes)
+
+        folder.append = held  # type: ignore[method-assign]
+        files.fail_at, files.code = files.calls + 1 if fails else 0, errno.ENOSPC
         disk.start()
-        for at in range(1, 12 if full else 2):
+        disk.write(write(1))
+        entered.wait(20)
+        for at in range(2, 12 if full else 2):
             disk.write(write(at, committed=at))
         hold.set()
         await heard.until("it is too slow: 4 writes wait" if full else "write (errno 28)")
