--- /dev/null
+++ b/ambershift/interference/engine.py
@@ -0,0 +1,281 @@
+"""A member's part in interference: samples of its own nodes and heard records in, records and scores out.
+
+Scores come from the records alone, its own as it has given them out: members that hold the same records give
+the same scores, to the byte. A single thread at a time may use it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from ambershift.interference import records
+from ambershift.interference.node import Node
+from ambershift.interference.normal import Normal, Sketch, liars, normal
+from ambershift.interference.pooled import lost, median, pairs, scores
+from ambershift.interference.records import Baseline, Evidence, Put, UnreadableError
+from ambershift.interference.sift import judge
+from ambershift.interference.words import Sample, Score, Unusable
+from ambershift.replication.heard import Kind, Record
+
+MINUTE = 60_000_000_000
+BEAT_NS = 1_000_000_000
+SLICE = 16  # Nodes that are looked at in one call of `due`, so that no call takes long.
+OLD_NS = 30 * MINUTE  # Evidence older than this, by the middle of the members' newest, no longer counts.
+SCORE_NS = MINUTE // 2  # Scores are worked out so often at most.
+LATELY_NS = 11 * MINUTE  # Nor does what a server suffers.
+FORGET_NS = 120 * MINUTE  # A job that is silent for so long is forgotten.
+
+
+class Bounds(NamedTuple):
+    nodes: int = 1_024  # Of one member.
+    jobs: int = 32  # Of one node.
+    heard: int = 65_536  # Records of either kind, of all members.
+    rows: int = 10_000  # Pairs that are told.
+
+
+class Row(NamedTuple):
+    """One pair for `show interference`; the victim alone, with a reason, where nobody can be told."""
+
+    victim: str
+    suspect: str
+    effect: float
+    low: float
+    high: float
+    p: float
+    nodes: int
+    suffering: int  # Jobs of the victim that suffer now.
+    accused: bool
+    reason: str
+
+
+class Engine:
+    def __init__(self, me: str, ease: bool = False, ease_most: float = 0.2, bounds: Bounds | None = None
+                 ) -> None:
+        self.me, self.ease, self.ease_most = me, ease, ease_most
+        self.bounds = bounds or Bounds()
+        self.unusable = Counter[str]()  # By words.Unusable, and `too-many`, `unreadable-record`, `too-late`.
+        self.taken = 0
+        self.next_at = 0
+        self._nodes = dict[str, Node]()
+        self._evidence = dict[tuple[str, str], Evidence]()  # By origin and key.
+        self._baselines = dict[str, dict[str, Baseline]]()  # By key and origin.
+        self._held = 0  # Baselines, of all origins.
+        self._pools = dict[tuple[str, str], dict[str, Sketch]]()
+        self._normals = dict[tuple[str, str], Normal | None]()
+        self._given = dict[tuple[Kind, str], bytes]()
+        self._stale, self._scored_at = True, 0
+        self._scores = list[Score]()
+        self._liars = frozenset[str]()
+        self._current = dict[str, Evidence]()  # By job, the newest of nodes that don't lie.
+
+    def samples(self, now: int, given: Iterable[Sample]) -> int:
+        """How many were of use. `now`: Unix ns of this member."""
+        used = 0
+        for sample in given:
+            reason = self._take(now, sample)
+            if reason is None:
+                used += 1
+            else:
+                self.unusable[reason] += 1
+        self.taken += used
+        return used
+
+    def _take(self, now: int, sample: Sample) -> str | None:
+        node = self._nodes.get(sample.node)
+        if node is None:
+            if len(self._nodes) >= self.bounds.nodes:
+                return "too-many"
+            node = Node(sample.node)
+        job = node.job(sample, self.bounds.jobs)
+        if job is None:
+            return "too-many"
+        why = judge(sample, now, job.told)
+        if why is not None:
+            if not job.last:
+                node.forget(sample.job)  # What never told anything of use takes no place.
+            return why.value
+        self._nodes[sample.node] = node
+        return None if node.add(job, sample) else "too-late"
+
+    def heard(self, record: Record) -> None:
+        """A record of another member, newer than what was heard of it; an empty body takes it back."""
+        if record.kind not in (Kind.MET, Kind.BASELINE) or record.origin == self.me:
+            return
+        try:
+            self._hold(record.origin, Kind(record.kind), record.key, record.body)
+        except UnreadableError:
+            self.unusable["unreadable-record"] += 1
+            self._hold(record.origin, Kind(record.kind), record.key, b"")
+
+    def _hold(self, origin: str, kind: Kind, key: str, body: bytes) -> None:
+        place, self._stale = (origin, key), True
+        if kind is Kind.MET:
+            if not body:
+                self._evidence.pop(place, None)
+            elif place in self._evidence or len(self._evidence) < self.bounds.heard:
+                self._evidence[place] = records.read_evidence(key, body)
+            else:
+                self.unusable["too-many"] += 1
+            return
+        found = records.read_baseline(key, body) if body else None
+        told = self._baselines.setdefault(key, {})
+        one = told.pop(origin, None)
+        self._held -= one is not None
+        if found is not None and self._held >= self.bounds.heard:
+            self.unusable["too-many"] += 1
+        elif found is not None:
+            one = told[origin] = found
+            self._held += 1
+        if not told:
+            del self._baselines[key]
+        if one is not None:
+            self._repool(one, told)
+
+    def _repool(self, one: Baseline, told: Mapping[str, Baseline]) -> None:
+        """The newest sketch of this node, of whatever origin."""
+        place = one.kind, one.group
+        pool = self._pools.setdefault(place, {})
+        self._normals.pop(place, None)
+        if told:
+            pool[one.node] = max(each.sketch for each in told.values())
+        else:
+            pool.pop(one.node, None)
+        if not pool:
+            del self._pools[place]
+
+    def now_of_all(self) -> int:
+        """The middle of the members' newest evidence: what counts as old is the same for all."""
+        newest = dict[str, int]()
+        for (origin, _), one in self._evidence.items():
+            newest[origin] = max(newest.get(origin, 0), one.at)
+        return int(median(newest.values())) if newest else 0
+
+    def _normal(self, kind: str, group: str) -> Normal | None:
+        if (kind, group) not in self._normals:
+            pool = self._pools.get((kind, group), {})
+            newest = max((one.at for one in pool.values()), default=0)
+            self._normals[kind, group] = normal(pool, newest, self._liars)
+        return self._normals[kind, group]
+
+    def due(self, now: int) -> list[Put]:
+        """What changed and should be given out. Call it again at `next_at`; each call is short."""
+        made = list[Put]()
+        ripe = [node for node in self._nodes.values() if node.ripe(now)]
+        for node in ripe[:SLICE]:
+            block = node.look(now, self._normal)
+            self.unusable[Unusable.ALL_SLOW.value] += block.all_slow
+            made += self._give(node, block.evidence)
+        if not ripe:
+            made += self._forget(now)
+            if now - self._scored_at >= SCORE_NS:
+                self._scored_at = now
+                self.refresh()
+        self.next_at = now + (BEAT_NS // 20 if len(ripe) > SLICE else BEAT_NS)
+        return made
+
+    def _give(self, node: Node, evidence: Iterable[Evidence]) -> list[Put]:
+        bodies = {(Kind.MET, records.met_key(one.node, one.job)): records.encode(one) for one in evidence}
+        for (kind, group), gathered in node.gathered.items():
+            if gathered.total:
+                body = records.encode(
+                    Baseline(records.VERSION, kind, group, node.name, gathered.sketch()))
+                bodies[Kind.BASELINE, records.baseline_key(kind, group, node.name)] = body
+        made = [Put(kind, key, body) for (kind, key), body in bodies.items()
+                if self._given.get((kind, key)) != body]
+        for put in made:
+            self._own(put)
+        return made
+
+    def _own(self, put: Put) -> None:
+        if put.body:
+            self._given[put.kind, put.key] = put.body
+        else:
+            self._given.pop((put.kind, put.key), None)
+        self._hold(self.me, put.kind, put.key, put.body)
+
+    def _forget(self, now: int) -> list[Put]:
+        """Jobs and nodes that are silent for long are taken back."""
+        made = list[Put]()
+        for name, node in list(self._nodes.items()):
+            for job in [job for job, one in node.jobs.items() if now - one.last > FORGET_NS]:
+                made.append(Put(Kind.MET, records.met_key(name, job), b""))
+                kind, group = node.jobs[job].kind, node.jobs[job].group
+                node.forget(job)
+                if not any((one.kind, one.group) == (kind, group) for one in node.jobs.values()):
+                    made.append(Put(Kind.BASELINE, records.baseline_key(kind, group, name), b""))
+            if not node.jobs:
+                del self._nodes[name]
+        made = [put for put in made if (put.kind, put.key) in self._given]
+        for put in made:
+            self._own(put)
+        return made
+
+    def refresh(self) -> None:
+        """Work the scores out of all that is held. `due` does it by itself; what reads never waits for it."""
+        if not self._stale:
+            return
+        self._stale = False
+        now = self.now_of_all()
+        found = liars(self._pools)
+        if found != self._liars:
+            self._liars = found
+            self._normals.clear()
+        newest = dict[tuple[str, str], Evidence]()
+        for _, one in sorted(self._evidence.items(), key=lambda item: item[0]):
+            place = one.node, one.job
+            if now - one.at <= OLD_NS and (place not in newest or one.at > newest[place].at):
+                newest[place] = one
+        self._scores = scores(pairs(newest.values(), found))
+        self._current = {}
+        for _, one in sorted(newest.items(), key=lambda item: item[0]):
+            before = self._current.get(one.job)
+            if one.node not in found and now - one.at <= LATELY_NS and (before is None or one.at > before.at):
+                self._current[one.job] = one
+
+    def scores(self) -> list[Score]:
+        return self._scores
+
+    def liars(self) -> frozenset[str]:
+        return self._liars
+
+    def interfered(self, server: str) -> float:
+        """The part of its capacity that neighbours take now, 0 to 1; 0 while nobody is accused of it."""
+        one = self._current.get(server)
+        if one is None or not one.suffers or one.level <= 0:
+            return 0.0
+        here = {met.suspect for met in one.met}
+        blamed = math.fsum(score.effect for score in self._scores
+                           if score.accused and score.victim == one.group and score.suspect in here)
+        return round(min(lost(one.level / records.LEVEL), blamed, 1.0), 6)
+
+    def eases(self, now: int) -> Mapping[str, float]:
+        """By server the part of its weight that it should keep; nothing where easing is off or over."""
+        if not self.ease:
+            return {}
+        found = dict[str, float]()
+        for server, one in self._current.items():
+            part = min(self.ease_most, self.interfered(server)) if now - one.at <= 2 * LATELY_NS else 0.0
+            if part > 0.0:
+                found[server] = round(1.0 - part, 6)
+        return found
+
+    def rows(self) -> list[Row]:
+        """The accused first, then by victim and suspect; victims with nobody to blame at the end."""
+        suffering = Counter(one.group for one in self._current.values() if one.suffers)
+        made = [Row(*score_fields(one), suffering[one.victim], one.accused, "") for one in self._scores]
+        made.sort(key=lambda row: (not row.accused, row.victim, row.suspect))
+        scored = {row.victim for row in made}
+        reasons = {(one.group, one.reason) for one in self._current.values() if one.reason}
+        reasons |= {(one.group, Unusable.NODE_LIES.value) for one in self._evidence.values()
+                    if one.node in self._liars}
+        made += [Row(group, "-", 0.0, 0.0, 0.0, 1.0, 0, suffering[group], False, reason)
+                 for group, reason in sorted(reasons)
+                 if group not in scored or reason in (Unusable.ALL_SLOW.value, Unusable.NODE_LIES.value)]
+        return made[:self.bounds.rows]
+
+
+def score_fields(one: Score) -> tuple[str, str, float, float, float, float, int]:
+    return one.victim, one.suspect, one.effect, one.low, one.high, one.p, one.nodes
