Lay works into waves inside windows, and grant and move permits as the leader

The steward holds nothing that a change of leader may lose; it lies in promises/, as it writes commands of the log.

--- a/ambershift/promises/answers.py
+++ b/ambershift/promises/answers.py
@@ -22,6 +22,7 @@
     REPEATED = "named-twice"
     BAD_WISH = "bad-wish"
     TOO_MANY_WISHES = "too-many-wishes"
+    UNSOUND = "unsound-declaration"
     OLDER_REVISION = "older-revision"
     OTHER_CONTENTS = "other-contents"
 
--- a/ambershift/promises/machine.py
+++ b/ambershift/promises/machine.py
@@ -9,6 +9,7 @@
 
 from ambershift.admin.wants import wanted, weighable
 from ambershift.admin.words import AS_LISTED, NEVER, Change, Health, Origin, Reason, State, Weight
+from ambershift.maintenance.sound import unsound
 from ambershift.maintenance.words import Phase, Refusal
 from ambershift.promises.answers import (
     COMMAND_MOST,
@@ -24,6 +25,7 @@
 
 WISHES_MOST = 20_000  # As many as the desk lets wait; a fleet has fewer servers.
 KEPT_MOST = 256
+FRESH = Past(0, False, 0)
 
 # Asked by the leader alone, before it writes: the desk's own guards, say. None: it may stand.
 Guard = Callable[[Promises, int, Command], Outcome | None]
@@ -131,6 +133,8 @@
     new, old = command.declared, state.declared
     if new == old:
         return state, Outcome(True)
+    if what := unsound(new):
+        return state, refused(Why.UNSOUND, what)
     if new.revision < old.revision:
         return state, refused(Why.OLDER_REVISION, f"revision {old.revision} stands, {new.revision} is older")
     if new.revision == old.revision:
@@ -139,7 +143,9 @@
     works = {work.name for work in new.works}
     past: HashTrieMap[tuple[str, str], Past] = HashTrieMap(
         {key: one for key, one in state.past.items() if key[0] in works})
-    return state._replace(declared=new, past=past, permits_touched=number), Outcome(True)
+    tenants = {tenant.name for tenant in new.tenants}
+    drains = HashTrieMap({name: at for name, at in state.drains.items() if name in tenants})
+    return state._replace(declared=new, past=past, drains=drains, permits_touched=number), Outcome(True)
 
 
 def grant(state: Promises, number: int, command: Grant) -> tuple[Promises, Outcome]:
@@ -149,7 +155,7 @@
                                                          f"{state.permits_touched} came since")
     works = {work.name: work for work in state.declared.works}
     taken = {held.permit.server for held in state.permits.values()}
-    permits, past = state.permits, state.past
+    permits, past, drains = state.permits, state.past, state.drains
     for permit in command.permits:
         if permit.work not in works or permit.server not in works[permit.work].servers:
             return state, refused(Why.NO_SUCH_WORK, f"{permit.work}/{permit.server}")
@@ -159,12 +165,15 @@
             return state, refused(Why.PHASE, f"{permit.id} does not begin with draining, or has ended")
         taken.add(permit.server)
         permits = permits.insert(permit.id, Held(permit, number, False))
-        before = past.get((permit.work, permit.server), Past(0, False))
-        past = past.insert((permit.work, permit.server), before._replace(tries=before.tries + 1))
+        before = past.get((permit.work, permit.server), FRESH)
+        past = past.insert((permit.work, permit.server),
+                           before._replace(tries=before.tries + 1, granted=permit.granted))
+        for name in permit.tenants:
+            drains = drains.insert(name, max(drains.get(name, 0), permit.granted))
     if not command.permits:
         return state, Outcome(True)
     changed = tuple(permit.id for permit in command.permits)
-    return (state._replace(permits=permits, past=past, permits_touched=number),
+    return (state._replace(permits=permits, past=past, drains=drains, permits_touched=number),
             Outcome(True, changed=changed))
 
 
@@ -183,7 +192,7 @@
         key, permits = (permit.work, permit.server), state.permits.remove(permit.id)
         past = state.past
         if any(work.name == permit.work for work in state.declared.works):
-            before = past.get(key, Past(1, False))
+            before = past.get(key, FRESH)
             past = past.insert(key, before._replace(done=before.done or done))
         state = state._replace(permits=permits, past=past, permits_touched=number)
         return state, Outcome(True, changed=(permit.id,))
--- a/ambershift/promises/state.py
+++ b/ambershift/promises/state.py
@@ -27,10 +27,12 @@
 
 
 class Past(NamedTuple):
-    """What became of one server of a work: how often it was tried, and whether the work was done there."""
+    """What became of one server of a work: how often it was tried, whether the work was done there, and when
+    it was granted last."""
 
     tries: int
     done: bool
+    granted: int
 
 
 class Kept(msgspec.Struct, frozen=True, array_like=True):
@@ -48,6 +50,7 @@
     declared: Declared
     permits: HashTrieMap[str, Held]  # The open ones, by id.
     past: HashTrieMap[tuple[str, str], Past]  # By work and server, of the works declared.
+    drains: HashTrieMap[str, int]  # When each tenant last had a server drained.
     permits_touched: int  # The number of the last entry that touched permits or what is declared.
     commands: int  # Operators' commands that changed something.
     kept: tuple[Kept, ...]  # The last ones that could not be read.
@@ -69,7 +72,7 @@
                     if held.permit.phase <= Phase.OUT and at < held.permit.ends), default=None)
 
 
-EMPTY = Promises(HashTrieMap(), NOTHING_DECLARED, HashTrieMap(), HashTrieMap(), 0, 0, (), 0)
+EMPTY = Promises(HashTrieMap(), NOTHING_DECLARED, HashTrieMap(), HashTrieMap(), HashTrieMap(), 0, 0, (), 0)
 
 
 class Packed(msgspec.Struct, frozen=True, array_like=True):
@@ -77,7 +80,8 @@
     wishes: list[tuple[str, int, int, tuple[float, bool] | None, tuple[str, int, int]]]
     declared: Declared
     permits: list[tuple[Permit, int, bool]]
-    past: list[tuple[str, str, int, bool]]
+    past: list[tuple[str, str, int, bool, int]]
+    drains: list[tuple[str, int]]
     permits_touched: int
     commands: int
     kept: tuple[Kept, ...]
@@ -94,10 +98,10 @@
                (wish.origin.who, wish.origin.at, wish.origin.number))
               for server, wish in sorted(state.wishes.items())]
     permits = [(held.permit, held.number, held.done) for _, held in sorted(state.permits.items())]
-    past = [(*key, one.tries, one.done) for key, one in sorted(state.past.items())]
+    past = [(*key, one.tries, one.done, one.granted) for key, one in sorted(state.past.items())]
     return msgspec.msgpack.encode(Packed(
-        VERSION, wishes, state.declared, permits, past, state.permits_touched, state.commands, state.kept,
-        state.unread))
+        VERSION, wishes, state.declared, permits, past, sorted(state.drains.items()), state.permits_touched,
+        state.commands, state.kept, state.unread))
 
 
 def unpack(data: bytes) -> Promises:
@@ -116,5 +120,7 @@
     return Promises(
         HashTrieMap(wishes), packed.declared,
         HashTrieMap({permit.id: Held(permit, number, done) for permit, number, done in packed.permits}),
-        HashTrieMap({(work, server): Past(tries, done) for work, server, tries, done in packed.past}),
+        HashTrieMap({(work, server): Past(tries, done, granted)
+                     for work, server, tries, done, granted in packed.past}),
+        HashTrieMap(dict(packed.drains)),
         packed.permits_touched, packed.commands, packed.kept, packed.unread)
--- /dev/null
+++ b/ambershift/promises/steward.py
@@ -0,0 +1,198 @@
+"""Steward: what the leader does for maintenance, from what stands promised and what it hears.
+
+It holds nothing that a change of leader may lose: all it goes by is the committed state, so that whoever
+leads next goes on with the same wave. Each command stands only on the state that it was judged by.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import msgspec
+
+from ambershift.maintenance.agreements import Room, usable, worth
+from ambershift.maintenance.board import Board, Spans, make_groups
+from ambershift.maintenance.limits import SECOND, Limits
+from ambershift.maintenance.permits import Heard, all_drained, all_let_in, clock_apart, is_back
+from ambershift.maintenance.waves import Open, Plan, lay
+from ambershift.maintenance.words import Permit, Phase, Standing, Trouble, Work
+from ambershift.promises.state import NOTHING_DECLARED, Held, Promises
+from ambershift.promises.words import Command, Grant, Move
+
+SEND_AGAIN = 3 * SECOND  # A command that is lost is sent again; it stands once, whatever comes of it.
+GRANT_EVERY = SECOND  # Who may go next is looked for so often, as each look goes through the whole fleet.
+DRAIN_MOST = 4  # Times as long as drains should take; then something is wrong with it.
+
+
+class Seen(NamedTuple):
+    """What the last look was at."""
+
+    at: int
+    servers: Mapping[str, Standing]
+    heard: Heard
+
+
+class Steward:
+    """`limits` come from the settings; the same at every member, so that a new leader judges alike."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.sent = dict[str, tuple[int, int]]()  # By permit, "" for grants: what it stood on, and when.
+        self.spans, self.spans_of = Spans(0, limits), NOTHING_DECLARED
+        self.granted_at, self.granted_on = -GRANT_EVERY, -1
+        self.apart, self.seen = False, Seen(0, {}, Heard((), {}, {}, {}))
+
+    def due(self, now: int, at: int, state: Promises, servers: Mapping[str, Standing], heard: Heard
+            ) -> list[Command]:
+        """What to submit now, at the leader alone, every second or when something changed.
+
+        `now` never goes back, `at` is the wall clock. `servers` are those of the list, by id, as they stand
+        without our permits: one that only a permit keeps out has no trouble.
+        """
+        self.seen = Seen(at, servers, heard)
+        own = [one.ahead for one in heard.steers.values() if one.age <= self.limits.silent]
+        self.apart = clock_apart(own, self.limits.clock_bound)
+        if self.apart or not own:
+            return []  # Every member lets in what ends by its own clock; nothing depends on us here.
+        if not self.spans.fresh(at) or self.spans_of != state.declared:
+            self.spans, self.spans_of = Spans(at, self.limits), state.declared
+        works = {work.name: work for work in state.declared.works}
+        recalled = self.recalled(at, state, servers)
+        moves = list[tuple[Held, Move]]()
+        for _, held in sorted(state.permits.items()):
+            move = self.next_move(at, held, works.get(held.permit.work), state, servers, heard,
+                                  held.permit.id in recalled)
+            if move is not None:
+                moves.append((held, move))
+        if moves:
+            return [move for held, move in moves if self.may_send(now, move.permit, held.number)]
+        if now < self.granted_at + GRANT_EVERY and self.granted_on == state.permits_touched:
+            return []
+        self.granted_at, self.granted_on = now, state.permits_touched
+        permits = self.next_wave(at, state, servers)
+        if not permits or not self.may_send(now, "", state.permits_touched):
+            return []
+        return [Grant(state.permits_touched, permits)]
+
+    def may_send(self, now: int, key: str, based_on: int) -> bool:
+        before = self.sent.get(key)
+        if before is not None and before[0] == based_on and now < before[1] + SEND_AGAIN:
+            return False
+        if len(self.sent) > 4096:
+            self.sent.clear()
+        self.sent[key] = based_on, now
+        return True
+
+    def next_move(self, at: int, held: Held, work: Work | None, state: Promises,
+                  servers: Mapping[str, Standing], heard: Heard, recall: bool) -> Move | None:
+        permit, limits, on = held.permit, self.limits, state.permits_touched
+        standing = servers.get(permit.server)
+        if permit.phase is Phase.RETURNING:
+            if is_back(permit, standing, limits, at) and all_let_in(permit, heard, limits, at):
+                return Move(on, permit.id, Phase.CLOSED, permit.ends, held.done)
+            return None
+        returning = Move(on, permit.id, Phase.RETURNING, permit.ends)
+        if work is None or permit.server not in work.servers:
+            return returning  # It was declared away: given back.
+        if permit.phase is Phase.OUT:
+            # Work that is under way is not broken off: the promise to whoever does it runs to its end.
+            return msgspec.structs.replace(returning, done=True) if at >= permit.ends else None
+        if at >= permit.ends or recall or not self.fits(at, permit, standing, permit.ends, work):
+            return returning
+        if all_drained(permit, heard, limits):
+            ends = at + work.takes_ns
+            if self.fits(at, permit, standing, ends, work):
+                return Move(on, permit.id, Phase.OUT, ends)
+            return returning
+        if at + work.takes_ns < permit.ends:
+            return None
+        # The drain takes longer than it should: no end before the work has its time, if that still fits.
+        ends = permit.ends + max(limits.drain // 2, SECOND)
+        if at < permit.granted + DRAIN_MOST * limits.drain and self.fits(at, permit, standing, ends, work):
+            return Move(on, permit.id, Phase.DRAINING, ends)
+        return returning
+
+    def fits(self, at: int, permit: Permit, standing: Standing | None, ends: int, work: Work) -> bool:
+        """Whether, with this end, it is back and warm before the opening closes and the work is due."""
+        declared, limits = self.spans_of, self.limits
+        tenants = tuple(tenant for tenant in declared.tenants if (
+            tenant.name in permit.tenants if standing is None
+            else not tenant.zones or standing.zone in tenant.zones))
+        back = limits.let_in(ends) + limits.warm
+        return back <= work.before and any(
+            span.opens <= at and back + limits.clock_bound <= span.closes for span in self.spans.of(tenants))
+
+    def recalled(self, at: int, state: Promises, servers: Mapping[str, Standing]) -> set[str]:
+        """The drains to break off, as a fault took capacity meanwhile: as few as let all agreements hold.
+
+        A new leader that does not know yet how servers are takes nothing back for that.
+        """
+        draining = [held.permit for held in state.permits.values() if held.permit.phase is Phase.DRAINING]
+        if not draining:
+            return set()
+        known = {name: one if one.trouble is not Trouble.UNKNOWN else msgspec.structs.replace(
+            one, trouble=None, warm_at=0) for name, one in servers.items()}
+        room, found = Room(state.declared.tenants, known, at), set[str]()
+        for held in state.permits.values():
+            if held.permit.phase <= Phase.OUT:
+                room.take(held.permit.server, held.permit)
+        helps = [permit for permit in draining
+                 if permit.server in known and usable(known[permit.server], at)]
+        helps.sort(key=lambda permit: (-worth(known[permit.server]), permit.id))
+        for tenant in state.declared.tenants:
+            for permit in helps:
+                if permit.id in found or room.broken((tenant.name,)) is None:
+                    continue
+                if tenant.name in room.users_of(permit.server, permit):
+                    room.give(permit.server)
+                    found.add(permit.id)
+        return found
+
+    def next_wave(self, at: int, state: Promises, servers: Mapping[str, Standing]) -> tuple[Permit, ...]:
+        """The servers that may all start now. What counts as out here counts so by any member's clock."""
+        declared, limits = state.declared, self.limits
+        jobs = [job for job in self.jobs(state) if job[1] in servers and job[2] <= at]
+        if not jobs:
+            return ()
+        room, out_of = Room(declared.tenants, servers, at), dict[str, int]()
+        for held in state.permits.values():
+            room.take(held.permit.server, held.permit)
+            out_of[held.permit.work] = out_of.get(held.permit.work, 0) + 1
+        board = Board(room, state.drains, out_of, limits)
+        chosen = board.pick(at, make_groups(declared, jobs, servers, at, self.spans, limits))
+        return tuple(
+            Permit(f"{job.work.name}/{job.server}/{self.tries(state, job.work.name, job.server) + 1}",
+                   job.work.name, job.server, Phase.DRAINING, at, at + limits.drain + job.work.takes_ns,
+                   room.users_of(job.server), servers[job.server].weight) for job in chosen)
+
+    def tries(self, state: Promises, work: str, server: str) -> int:
+        past = state.past.get((work, server))
+        return past.tries if past else 0
+
+    def jobs(self, state: Promises) -> list[tuple[Work, str, int]]:
+        """What is still to be done and not under way, and before when it is not tried again."""
+        out, found = {held.permit.server for held in state.permits.values()}, []
+        for work in state.declared.works:
+            for server in work.servers:
+                past = state.past.get((work.name, server))
+                if server in out or past is not None and past.done:
+                    continue
+                found.append((work, server, past.granted + past.tries * self.limits.again if past else 0))
+        return found
+
+    def plan(self, state: Promises) -> Plan:
+        """What would come from here on if nothing failed, by what the last look saw."""
+        at, servers, _ = self.seen
+        out = [Open(held.permit, self.back(held.permit, servers, at)) for held in state.permits.values()]
+        if self.spans_of != state.declared:
+            self.spans, self.spans_of = Spans(at, self.limits), state.declared
+        return lay(state.declared, self.jobs(state), out, dict(state.drains), servers, at, self.limits,
+                   self.spans)
+
+    def back(self, permit: Permit, servers: Mapping[str, Standing], at: int) -> int:
+        if permit.phase is Phase.RETURNING:
+            return max(at + SECOND, servers[permit.server].warm_at if permit.server in servers else 0)
+        return self.limits.let_in(permit.ends) + self.limits.warm
+
+
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -70,7 +70,7 @@
     assert log.write(Declare(declared(2, ()))).reason == Why.OTHER_CONTENTS
     assert log.write(Grant(1, (permit("a"),))).done and log.write(
         Move(5, "kernel/a/1", Phase.CLOSED, 0, True)).done
-    assert log.state.past["kernel", "a"] == (1, True)
+    assert log.state.past["kernel", "a"] == (1, True, 100)
     assert log.write(Declare(declared(3, ()))).done and not len(log.state.past)
 
 
@@ -95,7 +95,7 @@
     assert log.state.kept_out(899) == {"b": log.state.permits["kernel/b/1"].permit}
     assert log.state.kept_out(900) == {} and log.state.next_end(899) == 900
     assert log.write(Move(log.state.permits_touched, "kernel/a/1", Phase.CLOSED, 0)).done
-    assert log.state.past["kernel", "a"] == (1, True) and log.state.past["kernel", "b"] == (1, False)
+    assert log.state.past["kernel", "a"] == (1, True, 100) and log.state.past["kernel", "b"] == (1, False, 100)
     assert log.write(Move(99, "kernel/a/1", Phase.CLOSED, 0)).reason == Why.NO_SUCH_PERMIT
 
 
