Read tenants, windows and works from the settings, and tell what binds

A contradiction names file, line and key: an unknown tenant, a rule that never opens or would cost without bound, an unknown zone of time, a window too short for any work, an agreement that lets nobody out. show maintenance has a row a permit and one for each reason that a work can't be laid, with the nearest time.

--- a/ambershift/promises/steward.py
+++ b/ambershift/promises/steward.py
@@ -13,10 +13,11 @@
 
 from ambershift.maintenance.agreements import Room, usable, worth
 from ambershift.maintenance.board import Board, Spans, make_groups
-from ambershift.maintenance.limits import SECOND, Limits
+from ambershift.maintenance.limits import MINUTE, SECOND, Limits
 from ambershift.maintenance.permits import Heard, all_drained, all_let_in, clock_apart, is_back
 from ambershift.maintenance.waves import Open, Plan, lay
 from ambershift.maintenance.words import Permit, Phase, Standing, Trouble, Work
+from ambershift.promises.rows import Row, permit_rows, plan_rows, stopped_row
 from ambershift.promises.state import NOTHING_DECLARED, Held, Promises
 from ambershift.promises.words import Command, Grant, Move
 
@@ -41,6 +42,7 @@
         self.sent = dict[str, tuple[int, int]]()  # By permit, "" for grants: what it stood on, and when.
         self.spans, self.spans_of = Spans(0, limits), NOTHING_DECLARED
         self.granted_at, self.granted_on = -GRANT_EVERY, -1
+        self.planned: tuple[int, int, list[Row]] | None = None
         self.apart, self.seen = False, Seen(0, {}, Heard((), {}, {}, {}))
 
     def due(self, now: int, at: int, state: Promises, servers: Mapping[str, Standing], heard: Heard
@@ -190,6 +192,19 @@
         return lay(state.declared, self.jobs(state), out, dict(state.drains), servers, at, self.limits,
                    self.spans)
 
+    def rows(self, state: Promises, now: int) -> list[Row]:
+        """For `show maintenance`, at any member; what comes next is known only where `due` looks, and worked
+        out anew once a minute or when something changed."""
+        rows = permit_rows(state)
+        if self.apart:
+            return [*rows, stopped_row()]
+        if not self.seen.servers:
+            return rows
+        on = state.permits_touched
+        if self.planned is None or self.planned[0] != on or now >= self.planned[1] + MINUTE:
+            self.planned = on, now, plan_rows(self.plan(state))
+        return [*rows, *self.planned[2]]
+
     def back(self, permit: Permit, servers: Mapping[str, Standing], at: int) -> int:
         if permit.phase is Phase.RETURNING:
             return max(at + SECOND, servers[permit.server].warm_at if permit.server in servers else 0)
--- a/ambershift/settings/model.py
+++ b/ambershift/settings/model.py
@@ -20,6 +20,14 @@
 
 from ambershift.settings.checks import Complaint, duration, split, taken
 from ambershift.settings.group import Group, check_group
+from ambershift.settings.maintenance import (
+    Blocks,
+    MaintenanceBlock,
+    TenantBlock,
+    WindowBlock,
+    WorkBlock,
+    check_maintenance,
+)
 from ambershift.settings.tree import Block, SettingsError, Value, parse
 
 LevelName = Literal["user", "operator", "admin"]
@@ -60,10 +68,20 @@
     runtime: Runtime = Runtime()
     log: Log = Log()
     group: Group | msgspec.UnsetType = msgspec.UNSET
+    tenant: tuple[TenantBlock, ...] = ()
+    window: tuple[WindowBlock, ...] = ()
+    work: tuple[WorkBlock, ...] = ()
+    maintenance: MaintenanceBlock | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def blocks(self) -> Blocks:
+        """What `settings.maintenance.declared` reads."""
+        return Blocks(self.tenant, self.window, self.work, self.maintenance)
 
 
 # Blocks with a label: the key that the label stands for. All other blocks stand once, without labels.
-LABELLED = {"runtime.socket": "path", "runtime.tcp": "address", "group.member": "name"}
+LABELLED = {"runtime.socket": "path", "runtime.tcp": "address", "group.member": "name", "tenant": "name",
+            "window": "name", "work": "name"}
 
 
 def read_file(path: str) -> Root:
@@ -157,3 +175,4 @@
         check_group(root.group, complain)
         host, port = split(root.group.listen, "group.listen", complain)
         taken(places, f"{host}:{port}", "group.listen", complain)
+    check_maintenance(root.blocks, isinstance(root.group, Group), complain)
