--- a/ambershift/modelcheck/mutants/admin.py
+++ b/ambershift/modelcheck/mutants/admin.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from ambershift.admin import coverage, desk, pace
+from ambershift.admin import coverage, desk, pace, weigh
 from ambershift.admin.words import Stage
 from ambershift.coordinator.routing.row import Row
 from ambershift.modelcheck.mutants.words import Mutant
@@ -50,7 +50,7 @@
         "admin",
         "an-accepted-command-is-never-lost",
         "the last server may be taken away",
-        desk,
+        weigh,
         "uncovered",
         refuses_nothing,
     ),
