Answer show standing by a read of a majority where there is a group

Operators' histories over three processes had no order: a read at one member showed an old wish 1.5 ms after another had answered Done for a newer one. In a minority the read is refused by name; what holds at this member is still told by show servers state.

--- a/ambershift/group/promise.py
+++ b/ambershift/group/promise.py
@@ -45,6 +45,15 @@
     async def refuse(self, token: str, text: str, reason: str, why: str, wait: int) -> Answer:
         return self.tell(await self.member.submit(token, Answered(text, reason, why), wait), token)
 
+    async def read(self, wait: int) -> Answer | None:
+        reply = await self.member.read(wait)
+        if reply.reason is None:
+            return None
+        # Of a read an unknown outcome is none: whichever it is, nothing can be told that is not stale.
+        reason = Reason.STOPPING if reply.reason is Reason.STOPPING else Reason.NO_MAJORITY
+        return error(f"Refused ({reason.value}): what stands can't be told, as this member reaches no "
+                     f"majority of the voters; {after(reply)}. 'show servers state' tells what holds here.")
+
     def wish(self, change: Change) -> WishOne:
         weight = (change.weight.figure, change.weight.relative) if change.weight is not None else None
         return WishOne(self.name(change.server), None if change.state is None else int(change.state),
@@ -53,7 +62,6 @@
     def tell(self, reply: Reply, token: str) -> Answer:
         if reply.reason is None:
             return told(read_answer(reply.answer))
-        after = f"come back in {max(1, round(reply.retry_ns / SECOND))} s"
         match reply.reason:
             case Reason.OUTCOME_UNKNOWN:
                 return error(f"Unknown (outcome-unknown): it may stand or not, as no majority answered in "
@@ -61,10 +69,10 @@
             case Reason.NO_MAJORITY:
                 why = f" ({self.member.halted[0]})" if self.member.halted else ""
                 return error(f"Refused (no-majority): nothing was written, as this member{why} reaches no "
-                             f"majority of the voters; {after}.")
+                             f"majority of the voters; {after(reply)}.")
             case Reason.TOO_MANY_WAIT:
                 return error(f"Refused ({reply.reason.value}): too many commands wait for a majority here; "
-                             f"{after}.")
+                             f"{after(reply)}.")
             case Reason.TOKEN_REUSED:
                 return error(f"Refused ({reply.reason.value}): this token was used for another command.")
             case Reason.STOPPING:
@@ -81,6 +89,10 @@
         return self.interfered()
 
 
+def after(reply: Reply) -> str:
+    return f"come back in {max(1, round(reply.retry_ns / SECOND))} s"
+
+
 def told(outcome: Outcome) -> Answer:
     if outcome.done:
         return DONE
--- a/ambershift/runtime/changing.py
+++ b/ambershift/runtime/changing.py
@@ -14,13 +14,11 @@
 from ambershift.runtime.common import Common
 from ambershift.runtime.converse import read_delay
 from ambershift.runtime.grammar import Command, GrammarError, quote, read
-from ambershift.runtime.outcomes import DONE, Answer, Outcome, Promise, Wait, error
+from ambershift.runtime.outcomes import DONE, WAIT, Answer, Outcome, Promise, Wait, error
 from ambershift.runtime.scene import Scene
 from ambershift.runtime.session import Session
 
 TOKEN_MOST = 64
-# How long a command waits for the group's promise where the client has set no time, ns.
-WAIT = 2_000_000_000
 BAD_COMMAND = "bad-command"  # Under a token, a refusal that is told as it is, without its name.
 ONCE = {"disable_server", "enable_server", "set_server", "set_weight", "apply"}
 
--- a/ambershift/runtime/common.py
+++ b/ambershift/runtime/common.py
@@ -22,6 +22,10 @@
     def refuse(self, token: str, text: str, reason: str, why: str, wait: int) -> Awaitable[Answer]:
         """The answer that stands under this token, this refusal if none does."""
 
+    def read(self, wait: int) -> Awaitable[Answer | None]:
+        """None once what this coordinator holds has all that was promised when this was called; else the
+        refusal, within `wait` ns."""
+
     def members(self) -> Rows: ...
 
     def maintenance(self) -> Rows: ...
--- a/ambershift/runtime/outcomes.py
+++ b/ambershift/runtime/outcomes.py
@@ -38,6 +38,8 @@
     """The client wants to go."""
 
 
+# How long a command waits for the group's promise where the client has set no time, ns.
+WAIT = 2_000_000_000
 Outcome = Answer | Wait | Stream | Promise | End
 DONE = Answer(())
 
--- a/ambershift/runtime/reading.py
+++ b/ambershift/runtime/reading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from functools import partial
 
 import orjson
 
@@ -10,9 +11,9 @@
 from ambershift.admin.view import View
 from ambershift.runtime import show
 from ambershift.runtime.changes import BadCommandError, named
-from ambershift.runtime.common import Rows
+from ambershift.runtime.common import Common, Rows
 from ambershift.runtime.grammar import Command
-from ambershift.runtime.outcomes import Answer, Outcome, Stream, error
+from ambershift.runtime.outcomes import WAIT, Answer, Outcome, Promise, Stream, error
 from ambershift.runtime.scene import Scene
 from ambershift.runtime.session import Session
 
@@ -89,7 +90,19 @@
         names = ("server", "stage", "wish", "number", "who", "waiting_ms")
         return Answer(show.rows(show.pending_rows(self.scene, view, servers), names, json))
 
-    def do_show_standing(self, session: Session, command: Command, rest: tuple[str, ...]) -> Answer:
+    def do_show_standing(self, session: Session, command: Command, rest: tuple[str, ...]) -> Outcome:
+        common, wait = self.scene.common, session.idle or WAIT
+        told = self.standing(rest)  # Already here: a word that can't be read is no reason to ask others.
+        return told if common is None else Promise(partial(self.standing_of_all, common, rest, wait))
+
+    async def standing_of_all(self, common: Common, rest: tuple[str, ...], wait: int) -> Answer:
+        refused = await common.read(wait)
+        try:
+            return refused or self.standing(rest)
+        except BadCommandError as bad:  # The list has changed meanwhile.
+            return error(str(bad))
+
+    def standing(self, rest: tuple[str, ...]) -> Answer:
         view, json, servers = self.chosen(rest)
         names = ("server", "wish", "status", "number", "who", "since_ms", "lent_ms")
         return Answer(show.rows(show.standing_rows(self.scene, view, servers), names, json))
--- a/ambershift/standins/__main__.py
+++ b/ambershift/standins/__main__.py
@@ -65,6 +65,7 @@
 
     async def run(self) -> None:
         rig, names = self.rig, list(self.rig.names)
+        await rig.eventually(self.steered, SETTLE, "all proxies bound")
         leader = await rig.leader()
         self.tell(f"{len(names)} coordinators run on {rig.host}; {leader} leads; "
                   f"{len(rig.fleet.proxies)} proxies send to {len(rig.fleet.servers)} servers")
@@ -100,6 +101,9 @@
         await self.held_by(names)
         self.judge(at)
 
+    async def steered(self) -> bool:
+        return all(proxy.steered for proxy in self.rig.fleet.proxies)
+
     async def drained(self) -> bool:
         return all(self.rig.fleet.unused(server.split("/")[1]) for server in self.promised)
 
