--- a/ambershift/cli/run.py
+++ b/ambershift/cli/run.py
@@ -77,10 +77,9 @@
     talk = LINKS_OF_GROUP if group else 0
     coordinator = Coordinator(start, book, signals, runtime.max_connections + talk)
     given = coordinator, spots, runtime.max_connections, idle, VERSION
-    if group:
+    if root and group:
         from ambershift.group.front import GroupFront
-        from ambershift.group.spec import spec_of
-        coordinator.attach(GroupFront(*given, spec_of(group)))
+        coordinator.attach(GroupFront(*given, root, group))
     else:
         coordinator.attach(RuntimeFront(*given))
     await coordinator.run()
--- a/ambershift/group/at_desk.py
+++ b/ambershift/group/at_desk.py
@@ -75,3 +75,7 @@
         index = self.door.known(server)
         return index is None or index not in self.desk.world.listed or self.desk.drained(
             [index], self.now())
+
+    def held_out(self, server: str) -> bool:
+        index = self.door.known(server)
+        return index is not None and index in self.desk.permits
--- a/ambershift/group/clocks.py
+++ b/ambershift/group/clocks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from statistics import median
+from ambershift.maintenance.permits import clock_apart
 
 # A word of a clock counts for so long; of several the latest-looking one, as its way makes it look early.
 LASTS = 10_000_000_000
@@ -20,11 +20,11 @@
         kept = [one for one in self.found.get(origin, []) if now - one[0] < LASTS]
         self.found[origin] = [*kept[-32:], (now, wall + age - mine)]
 
-    def off(self, now: int) -> int:
-        """By how much the middle of all clocks heard lately, one's own too, is ahead of this one."""
-        ahead = [max(seen)[0] for rows in self.found.values()
-                 if (seen := [(off,) for at, off in rows if now - at < LASTS])]
-        return int(median([0, *ahead]))
+    def ahead(self, now: int, origin: str) -> int:
+        """How far this member's clock is ahead of ours; 0 where nothing was heard lately."""
+        return max((off for at, off in self.found.get(origin, ()) if now - at < LASTS), default=0)
 
     def apart(self, now: int) -> bool:
-        return abs(self.off(now)) > self.bound
+        """Whether our clock is apart by more than the bound from the middle of all, our own among them."""
+        lately = [name for name, rows in self.found.items() if any(now - at < LASTS for at, _ in rows)]
+        return clock_apart([0, *(self.ahead(now, name) for name in lately)], self.bound)
--- /dev/null
+++ b/ambershift/group/counting.py
@@ -0,0 +1,115 @@
+"""Counting: runs the scores of interference on a thread of their own, off the turns of the coordinator."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+
+from ambershift.group.gossip import Gossip
+from ambershift.group.links.wire import UnreadableError
+from ambershift.interference.words import Sample
+from ambershift.replication.heard.words import Kind, Record
+
+if TYPE_CHECKING:
+    from ambershift.interference.engine import Engine
+
+SAMPLES = msgspec.msgpack.Decoder(list[Sample])
+# Samples and records that may wait for the thread; what is over goes, the oldest first.
+WAITING_MOST = 65_536
+WANTED = (Kind.MET, Kind.BASELINE)
+
+
+class Scores(NamedTuple):
+    """What the thread made last: rows to show, and by server what part of it neighbours take."""
+
+    rows: tuple[dict[str, Any], ...]
+    interfered: dict[str, float]
+    eases: dict[str, float]
+
+
+NOTHING = Scores((), {}, {})
+
+
+class Counting:
+    """`make` gives the engine: it and its libraries are loaded on the thread, and only once there is
+    something to count."""
+
+    def __init__(self, gossip: Gossip, make: Callable[[], Engine], servers: Callable[[], list[str]],
+                 note: Callable[..., None]) -> None:
+        self.gossip, self.make, self.servers, self.note = gossip, make, servers, note
+        self.waiting = deque[Sample | Record](maxlen=WAITING_MOST)
+        self.scores, self.ending = NOTHING, False
+        self.fresh = threading.Event()
+        self.loop: asyncio.AbstractEventLoop | None = None
+        gossip.news.append(self.hear)
+
+    def open(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        threading.Thread(target=self.run, name="counting", daemon=True).start()
+
+    def close(self) -> None:
+        self.ending = True
+        self.fresh.set()
+
+    # On the loop
+
+    def counters(self, name: str, payload: bytes) -> None:
+        """From a process beside the coordinator: a msgpack list of samples."""
+        try:
+            self.waiting.extend(SAMPLES.decode(payload))
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise UnreadableError(f"no samples ({error})") from None
+        self.fresh.set()
+
+    def hear(self, now: int, records: Iterable[Record]) -> None:
+        found = [record for record in records if record.kind in WANTED]
+        if found:
+            self.waiting.extend(found)
+            self.fresh.set()
+
+    def give(self, puts: list[Any], scores: Scores) -> None:
+        now = self.gossip.member.now()
+        for put in puts:
+            if put.body:
+                self.gossip.store.put(now, put.kind, put.key, put.body)
+            else:
+                self.gossip.store.take_back(now, put.kind, put.key)
+        self.scores = scores
+
+    # On the thread
+
+    def run(self) -> None:
+        engine: Engine | None = None
+        while not self.ending:
+            self.fresh.wait()
+            if engine is None and not self.ending:
+                engine = self.make()
+            if engine is not None and not self.ending:
+                try:
+                    self.turn(engine)
+                except Exception as error:  # No score is worth the end of all later ones.
+                    self.note("failure", where="counting", error=repr(error)[:500])
+            time.sleep(1.0)
+
+    def turn(self, engine: Engine) -> None:
+        samples = list[Sample]()
+        for _ in range(len(self.waiting)):
+            one = self.waiting.popleft()
+            if isinstance(one, Record):
+                engine.heard(one)
+            else:
+                samples.append(one)
+        now = time.time_ns()
+        if samples:
+            engine.samples(now, samples)
+        puts = engine.due(now)
+        interfered = {server: part for server in self.servers() if (part := engine.interfered(server)) > 0}
+        scores = Scores(tuple(row._asdict() for row in engine.rows()), interfered, dict(engine.eases(now)))
+        if self.loop is not None and not self.ending:
+            self.loop.call_soon_threadsafe(self.give, puts, scores)
--- a/ambershift/group/front.py
+++ b/ambershift/group/front.py
@@ -5,23 +5,36 @@
 import asyncio
 from collections.abc import Sequence
 from functools import partial
+from typing import TYPE_CHECKING
 
 from ambershift import interface as api
 from ambershift.admin.words import Refused
 from ambershift.coordinator.program.assembly import Coordinator
 from ambershift.coordinator.program.configuration import BadStartError
 from ambershift.group.at_desk import AtDesk
+from ambershift.group.counting import Counting
 from ambershift.group.guard import Guard
 from ambershift.group.life import NoFolderError
 from ambershift.group.member import Member
 from ambershift.group.promise import Promises
-from ambershift.group.spec import Spec
+from ambershift.group.spec import spec_of
+from ambershift.group.standings import Others, standings
+from ambershift.group.upkeep import Upkeep
+from ambershift.maintenance.limits import Limits
+from ambershift.maintenance.words import Standing
 from ambershift.promises.machine import PromisesMachine
 from ambershift.runtime.changes import why_refused
 from ambershift.runtime.front import RuntimeFront
 from ambershift.runtime.places import TcpPlace, UnixPlace
 from ambershift.runtime.scene import Scene
 from ambershift.runtime.tap import DeskTap
+from ambershift.settings.checks import duration
+from ambershift.settings.group import Group
+from ambershift.settings.maintenance import MaintenanceBlock, declared
+from ambershift.settings.model import Root
+
+if TYPE_CHECKING:
+    from ambershift.interference.engine import Engine
 
 
 class GroupTap(DeskTap):
@@ -40,8 +53,9 @@
     """Steering never waits for the member: what it has not heard of the group yet is as if not wanted."""
 
     def __init__(self, coordinator: Coordinator, spots: Sequence[UnixPlace | TcpPlace], most: int, idle: int,
-                 version: str, spec: Spec) -> None:
+                 version: str, root: Root, group: Group) -> None:
         super().__init__(coordinator, spots, most, idle, version)
+        spec = spec_of(group)
         door, note = coordinator.admit.door, coordinator.book.note
         self.at_desk = AtDesk(self.desk, door, self.now, spec.clock_ahead, self.moved)
         guard = Guard(self.desk, door, self.now, partial(tell, self.scene), self.apart)
@@ -52,6 +66,21 @@
         self.promises = Promises(self.member, door.ids.__getitem__)
         self.scene.common = self.promises
         self.tap = GroupTap(self, self.at_desk)
+        terms, maintained = coordinator.start.terms, root.maintenance
+        limits = Limits(clock_bound=spec.clock_bound, warm=terms.cold)
+        if isinstance(maintained, MaintenanceBlock):
+            limits = limits._replace(drain=duration(maintained.drain) or limits.drain)
+        self.upkeep = Upkeep(self.member, limits, declared(root.blocks), self.look)
+        self.promises.maintained = self.upkeep.rows
+        self.counting = Counting(self.member.gossip, partial(engine, spec.me), lambda: list(door.indices),
+                                 note)
+        self.member.on_counters = self.counting.counters
+        self.promises.interfered = lambda: list(self.counting.scores.rows)
+        self.others = Others(interfered=lambda server: self.counting.scores.interfered.get(server, 0.0))
+
+    def look(self) -> dict[str, Standing]:
+        return standings(self.desk, self.coordinator.admit.door, self.scene.zone_name, self.now(),
+                         self.others)
 
     def apart(self) -> bool:
         return self.member.gossip.clocks.apart(self.member.now())
@@ -64,16 +93,25 @@
         except OSError as error:
             await self.member.close()
             raise BadStartError(f"key 'group.listen': can't listen there ({error.strerror})") from None
+        self.upkeep.open()
+        self.counting.open()
         await super().open()
 
     async def close(self) -> None:
         """What waits for a promise is answered, then the rest as without a group."""
+        self.upkeep.close()
+        self.counting.close()
         self.member.stop()
         await asyncio.sleep(0)
         await super().close()
         await self.member.close()
 
 
+def engine(me: str) -> Engine:
+    from ambershift.interference.engine import Engine  # Its libraries take tens of MB; few groups count.
+    return Engine(me)
+
+
 def tell(scene: Scene, refused: Refused) -> str:
     return why_refused(scene, scene.view(), refused)
 
--- a/ambershift/group/gossip.py
+++ b/ambershift/group/gossip.py
@@ -11,7 +11,7 @@
 
 from ambershift.group.clocks import Clocks
 from ambershift.group.links.wire import Kind, UnreadableError
-from ambershift.maintenance.words import Phase
+from ambershift.maintenance.words import Permit, Phase
 from ambershift.replication.heard import messages
 from ambershift.replication.heard.store import Store
 from ambershift.replication.heard.words import Kind as Heard
@@ -24,6 +24,7 @@
 # One digest to each member a beat: what is new has reached all within two. One's own is said again each
 # OWN_EVERY, well within the time that it counts.
 BEAT, OWN_EVERY = 0.25, 4
+NEITHER, DRAINED, LET_IN = b"0", b"1", b"2"  # Bodies of DRAINED.
 
 
 class Steers(msgspec.Struct, frozen=True, array_like=True):
@@ -82,19 +83,22 @@
     def say_own(self, now: int) -> None:
         own = Steers(self.steered(), self.member.wall())
         self.store.put(now, Heard.STEERS, "", msgspec.msgpack.encode(own))
-        open_now = set[str]()
-        for held in self.member.state.permits.values():
-            permit = held.permit
-            if permit.phase > Phase.OUT:
-                continue
-            open_now.add(permit.id)
-            body = b"1" if self.member.at_desk.drained(permit.server) else b"0"
-            if self.mine(Heard.DRAINED, permit.id) != body:
-                self.store.put(now, Heard.DRAINED, permit.id, body)
+        permits = self.member.state.permits
+        for held in permits.values():
+            body = self.word(held.permit)
+            if self.mine(Heard.DRAINED, held.permit.id) != body:
+                self.store.put(now, Heard.DRAINED, held.permit.id, body)
         for key in self.store.keys(Heard.DRAINED):
-            if key not in open_now:
+            if key not in permits:
                 self.store.take_back(now, Heard.DRAINED, key)
 
+    def word(self, permit: Permit) -> bytes:
+        """How far a permit has come here: drained, let in again, or neither."""
+        at_desk = self.member.at_desk
+        if permit.phase <= Phase.OUT:
+            return DRAINED if at_desk.drained(permit.server) else NEITHER
+        return LET_IN if not at_desk.held_out(permit.server) else NEITHER
+
     def mine(self, kind: Heard, key: str) -> bytes | None:
         held = self.store.found.get(kind, {}).get(key, {}).get(self.store.me)
         return held.body if held is not None else None
@@ -116,18 +120,19 @@
 
     # What others said
 
-    def steering(self, now: int) -> dict[str, int]:
-        """The members heard lately, this one too, and how many proxies each steers."""
-        found = {self.store.me: self.steered()}
+    def steers(self, now: int) -> dict[str, tuple[int, int, int]]:
+        """By member how many proxies it steers, how far its clock is ahead of this one, and how long ago it
+        said so, ns."""
+        found = {self.store.me: (self.steered(), 0, 0)}
         for record in self.store.all(now, Heard.STEERS):
             if record.origin != self.store.me and (steers := read_steers(record)) is not None:
-                found[record.origin] = steers.proxies
+                found[record.origin] = (steers.proxies, self.clocks.ahead(now, record.origin), record.age_ns)
         return found
 
-    def drained(self, now: int, permit: str) -> dict[str, bool]:
+    def said(self, now: int, permit: str) -> dict[str, bytes]:
         """What each member said last of one permit."""
-        return {record.origin: record.body == b"1" for record in self.store.all(now, Heard.DRAINED)
-                if record.key == permit}
+        by_origin = self.store.found.get(Heard.DRAINED, {}).get(permit, {})
+        return {name: held.body for name, held in by_origin.items() if self.store.counts(now, held)}
 
 
 def read_steers(record: Record) -> Steers | None:
--- a/ambershift/group/links/dialled.py
+++ b/ambershift/group/links/dialled.py
@@ -37,8 +37,10 @@
 class Dialled:
     """`seed` is for the chance in its pauses, so that members cut off together don't come back together."""
 
-    def __init__(self, peer: Peer, run: str, above: Above, tally: Tally, note: Note, seed: int) -> None:
-        self.peer, self.run_id, self.above, self.tally, self.note = peer, run, above, tally, note
+    def __init__(self, peer: Peer, run: str, above: Above, tally: Tally, note: Note, seed: int,
+                 role: Role = Role.MEMBER) -> None:
+        self.role, self.peer, self.run_id, self.above = role, peer, run, above
+        self.tally, self.note = tally, note
         self.queue, self.wake, self.state = Queue(), asyncio.Event(), seed & MASK
         self.socket: ClientWebSocketResponse | None = None
         self.up, self.refusal, self.dropped = False, "", False
@@ -95,7 +97,7 @@
                 autoclose=True)
         async with asyncio.timeout(REPLY_LIMIT):
             await socket.send_bytes(encode(Hello(
-                WIRE, VERSION, Role.MEMBER, mine.name, peer.name, mine.incarnation, self.run_id, mine.group,
+                WIRE, VERSION, self.role, mine.name, peer.name, mine.incarnation, self.run_id, mine.group,
                 mine.title, mine.voters)))
             first = await socket.receive()
         answer = read_reply(first.data if first.type is WSMsgType.BINARY else None)
--- /dev/null
+++ b/ambershift/group/links/source.py
@@ -0,0 +1,61 @@
+"""Source: the link of a process beside a coordinator that hands it counters, on loopback alone."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+
+import aiohttp
+
+from ambershift.group.links.dialled import Dialled
+from ambershift.group.links.gate import Mine
+from ambershift.group.links.wire import Kind, Refused, Role
+from ambershift.group.links.words import Peer, Tally
+
+
+class Source:
+    """`name` is this process's own, `title` the group's, `to` the member's. Use within `async with`."""
+
+    def __init__(self, name: str, title: str, to: Peer, note: Callable[..., None]) -> None:
+        self.name, self.title, self.members = name, title, frozenset((to.name,))
+        self.last: Refused | None = None
+        self.stands = asyncio.Event()
+        self.link = Dialled(to, secrets.token_hex(8), self, Tally(), note, time.time_ns(), Role.COUNTERS)
+        self.task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Source:
+        session = aiohttp.ClientSession()
+        self.session = session
+        self.task = asyncio.create_task(self.link.run(lambda: session))
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        if self.task:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+        await self.link.close()
+        await self.session.close()
+
+    def send(self, payload: bytes) -> bool:
+        """A msgpack list of samples; False while the link is down, and then it is lost."""
+        return self.link.send(Kind.COUNTERS, payload)
+
+    # What the link tells
+
+    def mine(self) -> Mine:
+        return Mine(self.name, self.title, (), self.members, 0, "")
+
+    def heard(self, sender: str, kind: Kind, payload: bytes) -> None: ...
+
+    def counters(self, name: str, payload: bytes) -> None: ...
+
+    def gone(self, member: str) -> None:
+        self.stands.clear()
+
+    def came(self, member: str) -> None:
+        self.stands.set()
+
+    def refused(self, member: str, refused: Refused) -> None:
+        self.last = refused
