--- a/ambershift/cli/logs.py
+++ b/ambershift/cli/logs.py
@@ -13,9 +13,9 @@
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 # The events that the coordinator tells by name only; all others are information.
 WARNINGS = {"refused", "unreadable", "list_failed", "news_ended", "call_ended", "order_not_taken",
-            "order_not_read",             "reload_failed",
-            "slow_step", "probe_left_out", "left_out", "untold"}
-ERRORS = {"failure", "bad_start"}
+            "order_not_read", "reload_failed", "slow_step", "probe_left_out", "left_out", "untold",
+            "link_closed", "link_refused", "folder_set_aside", "folder_torn", "upkeep_refused"}
+ERRORS = {"failure", "bad_start", "group_halted", "disk_failed", "disk_hangs"}
 
 
 class Sink:
--- a/ambershift/group/links/dialled.py
+++ b/ambershift/group/links/dialled.py
@@ -44,6 +44,7 @@
         self.queue, self.wake, self.state = Queue(), asyncio.Event(), seed & MASK
         self.socket: ClientWebSocketResponse | None = None
         self.up, self.refusal, self.dropped = False, "", False
+        self.limit: asyncio.Timeout | None = None  # Of the write under way.
         tally.ways[peer.name] = Close.AWAY
 
     def send(self, kind: Kind, payload: bytes) -> bool:
@@ -56,6 +57,8 @@
                 return False
         except FullError:
             self.dropped = True  # The task ends the link; until then nothing more is taken.
+            if self.limit is not None:
+                self.limit.reschedule(asyncio.get_running_loop().time())
         self.wake.set()
         return not self.dropped
 
@@ -126,10 +129,12 @@
                     await asyncio.wait([waiter, reader], return_when=asyncio.FIRST_COMPLETED)
                     waiter.cancel()
                     continue
-                async with asyncio.timeout(WRITE_LIMIT):
+                async with asyncio.timeout(WRITE_LIMIT) as self.limit:
                     await socket.send_bytes(self.queue.take())
+                self.limit = None
             return True
         finally:
+            self.limit = None
             reader.cancel()
             await asyncio.gather(reader, return_exceptions=True)
 
--- a/ambershift/group/links/wire.py
+++ b/ambershift/group/links/wire.py
@@ -8,7 +8,7 @@
 
 WIRE = 1
 # A message that is longer is no message of ours: the largest, a snapshot, is cut into parts far below it.
-MESSAGE_MOST = 4 << 20
+MESSAGE_MOST = 2 << 20
 HELLO_MOST = 16_384
 
 
--- a/ambershift/group/member.py
+++ b/ambershift/group/member.py
@@ -208,7 +208,7 @@
                     if future is not None and not future.done():
                         future.set_result(effect)
                 case words.Note():
-                    self.note(f"group_{effect.event}".replace("-", "_"), **effect.fields)
+                    self.note(effect.event.replace("-", "_"), **effect.fields)
                 case Halt():
                     if effect.reason is Reason.OLD_FOLDER and self.life.folder is not None:
                         again = 0, Reason.OLD_FOLDER.value
