--- /dev/null
+++ b/ambershift/group/evidence.py
@@ -0,0 +1,99 @@
+"""Evidence: what this member's proxies met of late, summed up for the others, and what theirs met. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from statistics import median
+from typing import Annotated, NamedTuple
+
+import msgspec
+
+from ambershift import interface as api
+from ambershift.replication.heard.store import Store
+from ambershift.replication.heard.words import Kind, Record
+
+SECOND = 1_000_000_000
+# Which servers are told one by one: those that fail or are late far more than the middle one. Of the rest a
+# sample is told, as a judge needs to know what is usual.
+TRIES_LEAST, BAD_SHARE, LATE = 3, 0.2, 2.0
+ILL_MOST, SAMPLE = 300, 40
+SPLIT = "\x1f"  # Between a server's id and a zone's name in a key.
+
+
+class Sum(NamedTuple):
+    tries: int
+    bad: int
+    good_ns: int
+
+    @property
+    def mean_ns(self) -> int:
+        return self.good_ns // (self.tries - self.bad) if self.tries > self.bad else 0
+
+
+class Row(msgspec.Struct, frozen=True, array_like=True):
+    """What proxies of one zone met at one server over `span_ns`."""
+
+    server: str
+    tries: Annotated[int, msgspec.Meta(ge=1, le=10**9)]
+    bad: Annotated[int, msgspec.Meta(ge=0, le=10**9)]
+    mean_ns: Annotated[int, msgspec.Meta(ge=0, le=3600 * SECOND)]
+    span_ns: Annotated[int, msgspec.Meta(ge=1, le=3600 * SECOND)]
+
+
+class Sums:
+    """Of the time since they were taken last."""
+
+    def __init__(self, now: int) -> None:
+        self.since, self.sums = now, dict[tuple[int, int], Sum]()
+
+    def add(self, met: api.Met) -> None:
+        if met.tries:
+            tries, bad, good = self.sums.get((met.zone, met.server), (0, 0, 0))
+            good += met.mean_time * (met.tries - met.bad)
+            self.sums[met.zone, met.server] = Sum(tries + met.tries, bad + met.bad, good)
+
+    def take(self, now: int) -> tuple[dict[tuple[int, int], Sum], int]:
+        sums, span = self.sums, max(1, now - self.since)
+        self.sums, self.since = {}, now
+        return sums, span
+
+
+def notable(sums: dict[tuple[int, int], Sum]) -> set[tuple[int, int]]:
+    """The worst first, up to ILL_MOST; none where all are alike, which is an overload."""
+    if not sums:
+        return set()
+    usual_bad = median(one.bad / one.tries for one in sums.values())
+    usual_ns = median([one.mean_ns for one in sums.values() if one.mean_ns] or [0])
+    found = [place for place, one in sums.items() if one.tries >= TRIES_LEAST and (
+        one.bad / one.tries > max(BAD_SHARE, 2 * usual_bad) or one.mean_ns > LATE * usual_ns > 0)]
+    found.sort(key=lambda place: (-sums[place].bad / sums[place].tries, place))
+    return set(found[:ILL_MOST])
+
+
+def sample(sums: dict[tuple[int, int], Sum], left_out: set[tuple[int, int]]) -> dict[int, list[int]]:
+    """For each zone the servers that were met most, those told one by one left out."""
+    zones = dict[int, list[int]]()
+    for zone, server in sorted(sums, key=lambda place: (-sums[place].tries, place)):
+        if (zone, server) not in left_out and len(zones.setdefault(zone, [])) < SAMPLE:
+            zones[zone].append(server)
+    return zones
+
+
+def rows(record: Record) -> tuple[str, tuple[Row, ...]]:
+    """The zone's name, and what its proxies met; nothing of a body that is no evidence."""
+    _, _, zone = record.key.rpartition(SPLIT)
+    try:
+        return zone, msgspec.msgpack.decode(record.body, type=tuple[Row, ...])
+    except (ValueError, RecursionError):
+        return zone, ()
+
+
+def newest(store: Store, now: int, age_most: int) -> Iterator[tuple[Record, str, Row]]:
+    """Others' evidence, the youngest first for each server and zone; one by one before what is a sample."""
+    found = [one for one in store.all(now, Kind.ILL) if one.origin != store.me and one.age_ns <= age_most]
+    found.sort(key=lambda one: (one.key.startswith(SPLIT), one.age_ns, one.origin))
+    for record in found:
+        zone, met = rows(record)
+        for row in met:
+            if row.bad <= row.tries:
+                yield record, zone, row
--- /dev/null
+++ b/tests/test_learned.py
@@ -0,0 +1,209 @@
+"""What a coordinator makes of the others' words: more careful where it knows nothing, never less anywhere."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+from plain import S, entry, make_terms
+from twofold import Numbered, Side, Takeover
+
+from ambershift import interface as api
+from ambershift.admin.mirror import BLANK
+from ambershift.group.evidence import SAMPLE, SPLIT, Row, Sum, notable, rows, sample
+from ambershift.group.learned import AGE_MOST, GIVEN_MOST, TRIES_MOST, Learned
+from ambershift.replication.heard import Kind
+from ambershift.replication.heard.store import Store
+
+COLD = 20 * S
+NOW = 1000 * S
+
+
+def pair(shift: int = 0) -> tuple[Learned, Learned]:
+    """Two coordinators; the second one's clock and indices differ."""
+    return (Learned(Store("a", 1), Numbered(2), COLD, NOW),
+            Learned(Store("b", 1), Numbered(2, shift), COLD, NOW))
+
+
+def carry(one: Learned, other: Learned, at: int, there: int) -> None:
+    """All that one knows comes to the other, whose clock says `there`."""
+    known = {place.origin: place for place in other.store.digest().vector}
+    other.heard(there, other.store.hear(there, one.store.delta(at, known))[1])
+
+
+def shown(one: Learned, now: int, server: int, since: int, phase: api.Phase = api.Phase.READY) -> int:
+    event = one.listed(now, api.Listed(False, False, (entry(server, 0, phase, since),)))
+    return event.entries[0].since
+
+
+@pytest.mark.parametrize(("heard_age", "own_age", "told_age"), [
+    (5, None, 5),  # The own list says nothing of a start.
+    (5, 300, 5),  # It is behind: the server was started anew since.
+    (5, 4, 4), (5, 5, 5), (5, 6, 6),  # It knows as much, or it is the same start.
+    (0, 1, 1),
+    (25, 300, 300), (25, None, None),  # Warm by now: no use.
+    (None, 7, 7),
+])
+@pytest.mark.parametrize("list_first", [True, False])
+def test_a_server_that_another_saw_start_later_is_cold_here_and_never_earlier(
+        heard_age: int | None, own_age: int | None, told_age: int | None, list_first: bool) -> None:
+    a, b = pair(shift=100)
+    there = NOW + 77_777 * S  # Clocks that have nothing to do with each other.
+    own = there - own_age * S if own_age is not None else 0
+    told = there - told_age * S if told_age is not None else 0
+    if list_first:
+        assert shown(b, there, 103, own) == own
+    if heard_age is not None:
+        a.store.put(NOW, Kind.START, "s3", b"x", heard_age * S)
+    carry(a, b, NOW, there)
+    if list_first and told != own:
+        events = b.due(there, BLANK)
+        assert [one.entries[0].server for one in events if isinstance(one, api.Listed)] == [103]
+    else:
+        assert not b.due(there, BLANK)
+    assert shown(b, there, 103, own) == told
+    # What was told once stays, until the own list has a newer word; and it is not told on as one's own.
+    assert shown(b, there + S, 103, told) == told == shown(b, there + S, 103, own)
+    assert shown(b, there + 2 * S, 103, there + S) == there + S == shown(b, there + 2 * S, 103, there + S)
+    if told != own:
+        assert [one.age_ns for one in b.store.all(there + 2 * S, Kind.START) if one.origin == "b"][0] <= S
+        b.store.put(there, Kind.STEERS, "", b"x")
+    for phase in (api.Phase.DRAINING, api.Phase.GONE):
+        assert shown(b, there + 2 * S, 103, own, phase) == own
+
+
+def test_starts_are_told_with_their_age_and_only_by_who_saw_them() -> None:
+    a, b = pair()
+    for age in (0, 19, 20, -3):
+        shown(a, NOW, age + 10, NOW - age * S)
+    told = {one.key: one.age_ns for one in a.store.all(NOW, Kind.START)}
+    assert told == {"s10": 0, "s29": 19 * S, "s7": 0}
+    shown(b, NOW, 10, 0)
+    carry(a, b, NOW, NOW)
+    shown(b, NOW + S, 10, shown(b, NOW + S, 10, 0))
+    assert {one.origin for one in b.store.all(NOW, Kind.START)} == {"a"}
+    b.listed(NOW, api.Listed(True, False, (entry(11),)))
+    assert not b.later and set(b.known) == {11}
+
+
+def met(server: int, tries: int, bad: int, zone: int = 0, ms: int = 50) -> api.Met:
+    return api.Met(zone, server, tries, bad, ms * 1_000_000, S, ())
+
+
+def given(one: Learned, now: int) -> dict[int, tuple[int, int, int]]:
+    return {event.server: (event.tries, event.bad, event.zone) for event in one.due(now, BLANK)
+            if isinstance(event, api.Met)}
+
+
+def test_others_tries_count_once_where_none_of_ones_own_has_tried() -> None:
+    a, b = pair(shift=100)
+    for server in range(6):
+        shown(a, NOW, server, 0)
+        shown(b, NOW, server + 100, NOW + S if server == 5 else 0)
+    a.stepped(NOW, [met(0, 200, 200), met(1, 4, 0, 1), met(2, 6, 0), met(3, 3, 3, 1), met(4, 0, 0),
+                    met(9, 5, 0), met(5, 4, 0)])
+    assert not given(a, NOW + 2 * S), "nobody hears oneself"
+    b.stepped(NOW + S, [met(102, 1, 0), met(101, 0, 0)])
+    carry(a, b, NOW + 2 * S, NOW + 2 * S)
+    first = given(b, NOW + 3 * S)
+    # 102 was tried here, 5 is a new process since, 9 is not listed here; a span without tries tells nothing.
+    assert first == {100: (TRIES_MOST, TRIES_MOST, 0), 101: (4, 0, 1), 103: (3, 3, 1)}
+    assert not given(b, NOW + 4 * S), "each word once"
+    # What was given and passes is neither told on nor taken for one's own.
+    b.given.clear()
+    events = b.due(NOW + 4 * S, BLANK)
+    assert b.stepped(NOW + 4 * S, [*events, met(104, 7, 7)]) == [met(104, 7, 7)]
+    b.due(NOW + 6 * S, BLANK)
+    told = [row.server for one in b.store.all(NOW + 6 * S, Kind.ILL) if one.origin == "b"
+            for row in rows(one)[1]]
+    assert set(told) <= {"s2", "s4"} and "s4" in told
+    # One's own tries end it; long after, and too old.
+    b.given.clear()
+    b.stepped(NOW + 7 * S, [met(100, 1, 0)])
+    assert 100 not in given(b, NOW + 7 * S)
+    b.given.clear()
+    assert 100 in given(b, NOW + 13 * S)
+    b.given.clear()
+    assert not given(b, NOW + 2 * S + AGE_MOST + 1)
+    # Well again where it was tried: the word is taken back.
+    a.stepped(NOW + 8 * S, [met(0, 9, 0), met(1, 9, 0), met(2, 9, 0)])
+    a.due(NOW + 8 * S, BLANK)
+    ill = {one.key for one in a.store.all(NOW + 8 * S, Kind.ILL) if not one.key.startswith(SPLIT)}
+    assert ill == {f"s3{SPLIT}z1"}
+
+
+def test_the_worst_are_told_one_by_one_and_an_overload_is_none_of_them() -> None:
+    rng = random.Random(4)
+    usual = {(0, at): Sum(rng.randrange(5, 90), 0, 0) for at in range(200)}
+    sums = {place: one._replace(good_ns=one.tries * 50) for place, one in usual.items()}
+    assert notable(sums) == set() == notable({})
+    sums |= {(0, 500): Sum(9, 9, 0), (0, 501): Sum(9, 3, 6 * 50), (0, 502): Sum(9, 0, 9 * 120),
+             (0, 503): Sum(2, 2, 0)}
+    assert notable(sums) == {(0, 500), (0, 501), (0, 502)}
+    assert notable({place: one._replace(bad=one.tries // 2 + 1) for place, one in usual.items()}) == set()
+    chosen = sample(sums, {(0, 500)})[0]
+    assert len(chosen) == SAMPLE and min(sums[0, one].tries for one in chosen) >= 60
+
+
+def test_words_that_make_no_sense_are_passed_over_and_many_are_bounded() -> None:
+    a, b = pair()
+    for server in range(3000):
+        shown(b, NOW, server, 0)
+    good = msgspec.msgpack.encode([Row("s1", 5, 5, 1, S)])
+    for key, body in ((f"s1{SPLIT}z9", good), (f"s1{SPLIT}zz0", b"\xc1"), (f"s1{SPLIT}z0", b"\x93\x01\x02"),
+                      (f"s2{SPLIT}z0", msgspec.msgpack.encode([Row("s2", 5, 6, 1, S)])),
+                      (f"s3{SPLIT}z0", msgspec.msgpack.encode([Row("s3", 0, 0, 1, S)])), ("", b"\x80")):
+        a.store.put(NOW, Kind.ILL, key, body)
+    a.store.put(NOW, Kind.START, "s9999", b"x")
+    b.names = Careful(2)
+    carry(a, b, NOW, NOW)
+    assert b.due(NOW, BLANK) == []
+    for start in range(0, 3000, 100):
+        body = msgspec.msgpack.encode([Row(f"s{start + at}", 5, 5, 1, S) for at in range(100)])
+        a.store.put(NOW, Kind.ILL, f"x{start}{SPLIT}z0", body)
+    carry(a, b, NOW, NOW)
+    assert len(given(b, NOW)) == GIVEN_MOST and len(given(b, NOW)) == 1000 and not given(b, NOW)
+
+
+class Careful(Numbered):
+    def zone_index(self, zone: str) -> int | None:
+        return {"z0": 0, "z1": 1}.get(zone)
+
+
+def test_levels_and_shares_are_told_from_the_picture() -> None:
+    side = Side(make_terms(zones=2), [entry(i, i % 2) for i in range(8)], Store("a", 1), True, NOW)
+    side.tell(*[api.Joined(proxy, proxy % 2, 5.0, True) for proxy in range(4)])
+    for _ in range(4):
+        side.run(S)
+        side.learned.due(side.now, side.desk.view(side.now).picture)
+    told = {(one.kind, one.key): msgspec.msgpack.decode(one.body) for kind in (Kind.LEVEL, Kind.SHARE)
+            for one in side.store.all(side.now, kind)}
+    assert told.keys() == {(kind, zone) for kind in (Kind.LEVEL, Kind.SHARE) for zone in ("z0", "z1")}
+    assert told[Kind.LEVEL, "z0"] == [1, 1.0] and told[Kind.SHARE, "z0"][0] >= 4
+    version = side.store.origins["a"].upto
+    side.learned.due(side.now + 2 * S, side.desk.view(side.now).picture)
+    assert side.store.origins["a"].upto == version, "what stands is not said again at once"
+
+
+def test_after_a_take_over_fewer_tries_fail_and_cold_servers_are_not_pushed() -> None:
+    for seed in range(3):
+        without, with_it = (Takeover(seed, use).play() for use in (False, True))
+        assert with_it.failed < 0.7 * without.failed and with_it.pushed < 0.6 * without.pushed, seed
+        assert with_it.flows == without.flows
+
+
+def test_a_member_that_calls_all_cold_and_ill_leaves_no_proxy_bare() -> None:
+    store, liar = Store("a", 1), Store("liar", 1)
+    side = Side(make_terms(zones=2), [entry(i, i % 2) for i in range(8)], store, True, NOW)
+    side.tell(*[api.Joined(proxy, proxy % 2, 5.0, True) for proxy in range(4)])
+    for at in range(40):
+        for server in range(8):
+            liar.put(side.now, Kind.START, f"s{server}", bytes([at + 1]))
+            body = msgspec.msgpack.encode([Row(f"s{server}", 50, 50, 1, S)])
+            liar.put(side.now, Kind.ILL, f"s{server}{SPLIT}z{server % 2}", body)
+        news = store.hear(side.now, liar.delta(side.now, {"liar": store.digest().vector[-1]}
+                                               if at else {}))[1]
+        side.learned.heard(side.now, news)
+        side.run(S, *side.learned.due(side.now, side.desk.view(side.now).picture))  # Rules are checked.
+    assert all(side.proxies.values())
