--- a/ambershift/replication/core.py
+++ b/ambershift/replication/core.py
@@ -25,6 +25,9 @@
     Write,
 )
 
+GROUP = "group:"
+NEVER = 1 << 62
+
 
 class Want(NamedTuple):
     """A client's command or read at this member. `open`: attempts that may have reached a leader and were not
@@ -39,6 +42,10 @@
     place: int
     reason: str  # Why it was refused last.
 
+    @property
+    def due(self) -> int:
+        return self.until if self.place >= 0 else min(self.until, self.retry_at)
+
 
 class Fetching(NamedTuple):
     """What is being taken over from whom. `then` is what it is for."""
@@ -147,10 +154,16 @@
         self.was: tuple[int, Status] = (0, Status.BLANK)  # View and status after the last call.
         self.next_start = 0
         self.wants: dict[int, Want] = {}
+        self.want_at = NEVER  # Not later than the first of them is to be looked at.
+        self.served = 0  # Up to here reads that waited for a number were answered.
         # Gone with the call that made it.
         self.out: list[Effect] = []
         self.vouching: list[tuple[str, Message]] = []
 
+    def keep_want(self, ticket: int, want: Want) -> None:
+        self.wants[ticket] = want
+        self.want_at = min(self.want_at, want.due)
+
     # Who and where
 
     @property
@@ -387,7 +400,6 @@
         return tuple(sorted(self.lives.items()))
 
 
-GROUP = "group:"
 
 
 def mark(row: Vouch) -> tuple[int, int, int, int, int]:
--- a/ambershift/replication/replica.py
+++ b/ambershift/replication/replica.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ambershift.replication import birth, following, leading, messages, requests, views, wants
-from ambershift.replication.core import Core, Fixed
+from ambershift.replication.core import NEVER, Core, Fixed
 from ambershift.replication.frozen import Frozen, freeze, thaw
 from ambershift.replication.log import Log
 from ambershift.replication.messages import Message
@@ -32,7 +32,6 @@
     messages.ReadAsk: requests.on_read_ask,
     messages.ReadAt: requests.on_read_at,
 }
-NEVER = 1 << 62
 
 
 class Replica:
@@ -97,7 +96,8 @@
             core.fetching = task._replace(at=min(task.at, now - core.fixed.timing.fetch // 2))
         if member == core.leader:
             for ticket, want in core.wants.items():
-                core.wants[ticket] = want._replace(retry_at=min(want.retry_at, now + core.fixed.timing.beat))
+                core.keep_want(ticket, want._replace(
+                    retry_at=min(want.retry_at, now + core.fixed.timing.beat)))
         return self.end(now)
 
     def synced(self, now: int, ticket: int) -> list[Effect]:
@@ -161,10 +161,8 @@
         """When `due` is to be called next."""
         core = self.core
         if core.status is Status.HALTED:
-            return min([NEVER, *(want.until for want in core.wants.values())])
-        times = [core.next_start]
-        times += [want.until if want.place >= 0 else min(want.until, want.retry_at)
-                  for want in core.wants.values()]
+            return NEVER
+        times = [core.next_start, core.want_at]
         if core.fetching is not None:
             times.append(core.fetching.at + core.fixed.timing.fetch if core.fetching.at else 0)
         if core.status is Status.BLANK and core.fixed.votes and core.fetching is None:
--- a/ambershift/replication/requests.py
+++ b/ambershift/replication/requests.py
@@ -32,7 +32,7 @@
     elif len(want.command) > timing.command_bytes:
         core.out.append(Answer(ticket, Reason.TOO_LARGE, b"", 0))
     else:
-        core.wants[ticket] = want
+        core.keep_want(ticket, want)
         push(core, now, ticket)
 
 
@@ -40,10 +40,10 @@
     """On to the leader, if there is one."""
     want = core.wants[ticket]
     if core.status is not Status.NORMAL or core.doubt or want.place >= 0:
-        core.wants[ticket] = want._replace(retry_at=now + core.fixed.timing.retry)
+        core.keep_want(ticket, want._replace(retry_at=now + core.fixed.timing.retry))
         return
     if want.read:
-        core.wants[ticket] = want._replace(retry_at=now + core.fixed.timing.retry)
+        core.keep_want(ticket, want._replace(retry_at=now + core.fixed.timing.retry))
         if core.leading:
             ask_to_read(core, core.fixed.me, core.incarnation, ticket)
         else:
@@ -51,7 +51,7 @@
         return
     core.attempt += 1
     tries = (*want.open, core.attempt) if len(want.open) < 8 else (LOST, *want.open[-6:], core.attempt)
-    core.wants[ticket] = want._replace(retry_at=now + core.fixed.timing.retry, open=tries)
+    core.keep_want(ticket, want._replace(retry_at=now + core.fixed.timing.retry, open=tries))
     if core.leading:
         accept(core, now, core.fixed.me, core.incarnation, ticket, core.attempt, want.token, want.command)
     else:
@@ -60,8 +60,10 @@
 
 
 def push_late(core: Core, now: int) -> None:
-    for ticket in list(core.wants):
-        if ticket in core.wants and now >= core.wants[ticket].retry_at:
+    if now < core.want_at:
+        return
+    for ticket, want in list(core.wants.items()):
+        if want.due <= now < want.until and want.place < 0 and ticket in core.wants:
             push(core, now, ticket)
 
 
--- a/ambershift/replication/wants.py
+++ b/ambershift/replication/wants.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ambershift.replication.core import Core, Want
+from ambershift.replication.core import NEVER, Core, Want
 from ambershift.replication.messages import Answered, ReadAt
 from ambershift.replication.words import Answer, Reason
 
@@ -28,7 +28,7 @@
         return
     # Refused: this attempt wrote nothing. Another that is open may have.
     left = tuple(one for one in want.open if one != attempt)
-    core.wants[ticket] = want._replace(open=left, reason=reason)
+    core.keep_want(ticket, want._replace(open=left, reason=reason))
     if not left and reason in FINAL:
         settle(core, ticket, Reason(reason), b"")
 
@@ -50,20 +50,28 @@
 def take_read(core: Core, ticket: int, number: int) -> None:
     want = core.wants.get(ticket)
     if want is not None and want.read and want.place < 0:
-        core.wants[ticket] = want._replace(place=number)
-        serve_reads(core)
+        if number <= core.committed:
+            settle(core, ticket, None, b"")
+        else:
+            core.keep_want(ticket, want._replace(place=number))
 
 
 def serve_reads(core: Core) -> None:
+    if core.served == core.committed:
+        return
+    core.served = core.committed
     for ticket, want in list(core.wants.items()):
         if want.read and 0 <= want.place <= core.committed:
             settle(core, ticket, None, b"")
 
 
 def expire(core: Core, now: int) -> None:
+    if now < core.want_at:
+        return
     for ticket, want in list(core.wants.items()):
         if now >= want.until:
             give_up(core, ticket, want)
+    core.want_at = min((want.due for want in core.wants.values()), default=NEVER)
 
 
 def give_up(core: Core, ticket: int, want: Want) -> None:
