--- a/ambershift/replication/core.py
+++ b/ambershift/replication/core.py
@@ -360,11 +360,17 @@
             if row.name == self.fixed.me:
                 self.judge_myself(row)
                 continue
-            old = self.rows.get(row.name)
-            if old is None or mark(row) > mark(old):
-                self.rows[row.name] = row
+            self.learn_row(row)
             self.learn_life(row.name, row.incarnation)
 
+    def learn_row(self, row: Vouch) -> None:
+        """What a member vouches for never shrinks, over its starts too, but where its folder is behind: so the
+        most is kept, until it vouches for as much again."""
+        old = self.rows.get(row.name)
+        if old is None or (row.view >= old.view and (row.last, row.number) >= (old.last, old.number)
+                           and row.incarnation >= old.incarnation):
+            self.rows[row.name] = row
+
     def judge_myself(self, row: Vouch) -> None:
         if not self.fixed.votes:
             return
@@ -400,7 +406,3 @@
         return tuple(sorted(self.lives.items()))
 
 
-
-
-def mark(row: Vouch) -> tuple[int, int, int, int, int]:
-    return row.incarnation, row.view, row.last, row.number, row.committed
--- a/ambershift/replication/leading.py
+++ b/ambershift/replication/leading.py
@@ -108,9 +108,9 @@
         return
     if message.number >= core.have.get(sender, (0, 0))[1]:
         core.have[sender] = message.incarnation, message.number
-        core.rows[sender] = Vouch(sender, message.incarnation, message.view,
-                                  max(0, core.log.view_at(message.number)), message.number, message.committed,
-                                  message.status)
+        core.learn_row(Vouch(sender, message.incarnation, message.view,
+                             max(0, core.log.view_at(message.number)), message.number, message.committed,
+                             message.status))
     core.rounds[sender] = max(core.rounds.get(sender, 0), message.round)
 
 
--- a/ambershift/replication/replica.py
+++ b/ambershift/replication/replica.py
@@ -11,7 +11,7 @@
 from ambershift.replication.log import Log
 from ambershift.replication.messages import Message
 from ambershift.replication.timing import PLAIN, Timing
-from ambershift.replication.words import Effect, Machine, MemberRow, Saved, Status
+from ambershift.replication.words import Effect, Machine, MemberRow, Restored, Saved, Status
 
 HANDLERS: dict[type, Callable[[Core, int, str, Any], None]] = {
     messages.Ask: birth.on_ask,
@@ -65,16 +65,16 @@
         if snapshot is not None:
             core.install(snapshot, saved.group)
             core.snapshot_due = False
+            core.out.clear()  # Told with the first call.
         for entry in saved.entries:
             core.log.put(entry)
         core.view, core.group = saved.view, saved.group
         core.status, core.voted = Status.CHANGING, True
-        core.change_at = now + core.fixed.timing.silence
+        core.change_at = core.again_at = now + core.fixed.timing.silence
         core.behind = saved.view, core.log.last, core.log.top
         core.cut, core.written_top = 0, core.log.top
         core.durable_top, core.durable_view = core.log.top, saved.view
         core.sure = max(core.committed, min(saved.committed, core.log.top))
-        core.commit_to(core.sure)
 
     # Events
 
@@ -142,7 +142,8 @@
         core = self.core
         where = core.view, core.status
         if core.status is not Status.HALTED:
-            core.next_start = NEVER
+            if core.next_start != NEVER:
+                self.tell_start(core)
             if where != core.was and core.status is Status.NORMAL:
                 requests.push_all(core, now)
             core.was = where
@@ -154,6 +155,15 @@
         wants.expire(core, now)
         return core.finish()
 
+    @staticmethod
+    def tell_start(core: Core) -> None:
+        """With the first call: what the folder vouches for is applied."""
+        core.next_start = NEVER
+        if core.snapshot is not None and core.committed == core.snapshot.number:
+            core.out.insert(0, Restored(core.committed, core.state))
+        if core.status is not Status.BLANK:
+            core.commit_to(core.sure)
+
     # What is seen from outside
 
     @property
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -138,8 +138,6 @@
         host.replica = Replica(name, self.voters, self.copies, Counting(), self.random.getrandbits(63), self.incarnation,
                                host.saved if self.disk else None, self.disk, self.timing, self.now, noop=b"noop")
         host.fed = 0
-        if host.replica.committed:
-            self.check_applied(host)
         self.wake(host)
 
     def start_if_down(self, name: str) -> None:
@@ -209,7 +207,7 @@
                 case Applied(entry, answer, state):
                     self.check_entry(host, entry, answer)
                 case Restored(number, state):
-                    assert number >= host.fed
+                    assert number > host.fed
                     host.fed = number
                 case Answer():
                     self.check_answer(effect)
@@ -313,11 +311,6 @@
 
     # What must hold
 
-    def check_applied(self, host: Host) -> None:
-        """After a start: what its folder says is committed was."""
-        assert host.replica is not None
-        host.fed = host.replica.core.snapshot.number if host.replica.core.snapshot else 0
-
     def check_entry(self, host: Host, entry: Entry, answer: bytes) -> None:
         assert entry.number == host.fed + 1, (host.name, entry.number, host.fed)
         host.fed = entry.number
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,318 @@
+"""Replicas over a simulated network: generated histories, failures by name, and guards taken out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ambershift.replication import birth, core, leading, messages, replica, requests, views
+from ambershift.replication.messages import Chunk, Have, Told, UnreadableError, decode, encode
+from ambershift.replication.replica import Replica
+from ambershift.replication.timing import MS, PLAIN
+from ambershift.replication.words import Applied, Reason, Restored, Saved, Send, Status
+from replicas import SECOND, WALL, Counting, Sim
+from schedules import SMALL, history
+
+
+def group(voters: int = 3, copies: int = 0, seed: int = 1, disk: bool = False, **more: Any) -> Sim:
+    sim = Sim(seed, voters, copies, disk, **more)
+    for name in sim.hosts:
+        sim.start(name)
+    sim.run(SECOND)
+    assert leader(sim)
+    return sim
+
+
+def leader(sim: Sim) -> str:
+    """Who leads the newest view."""
+    found = [(host.replica.view, name) for name, host in sim.hosts.items()
+             if host.replica and host.replica.leader == name]
+    return max(found)[1] if found else ""
+
+
+def follower(sim: Sim) -> str:
+    return next(name for name in sim.voters if name != leader(sim) and sim.hosts[name].replica)
+
+
+def alone(sim: Sim, *names: str) -> None:
+    sim.cuts = {(one, other) for one in sim.hosts for other in sim.hosts if (one in names) != (other in names)}
+
+
+def fill(sim: Sim, count: int, name: str = "", tag: str = "f") -> None:
+    for number in range(count):
+        sim.submit(name or leader(sim), f"{tag}{number}", b"x" * 20)
+    sim.run(SECOND)
+
+
+@pytest.mark.parametrize("block", range(12))
+def test_whatever_happens_what_was_acknowledged_stands(block: int) -> None:
+    for seed in range(4):
+        history(block * 4 + seed, acts=40)
+
+
+def test_a_killed_leader_takes_nothing_acknowledged_with_it() -> None:
+    for seed in range(10):
+        sim = group(seed=seed)
+        ticket = sim.submit(leader(sim), "a", b"x")
+        while ticket in sim.waiting:
+            sim.run(MS)
+        gone = leader(sim)
+        sim.crash(gone)  # In the moment of its answer, and it has no disk.
+        began = sim.now
+        while not leader(sim):
+            sim.run(10 * MS)
+        assert sim.now - began < SECOND
+        sim.start(gone)
+        sim.settle()
+        assert sim.acked["a"] in sim.log and sim.hosts[gone].replica
+
+
+def test_a_minority_answers_nothing_and_says_when_to_come_back() -> None:
+    sim = group(voters=5)
+    old = leader(sim)
+    other = follower(sim)
+    alone(sim, old, other)
+    told = [sim.submit(old, "a", b"x"), sim.submit(other, "b", b"x"), sim.read(old)]
+    sim.run(2500 * MS)
+    assert not set(told) & set(sim.waiting)  # Nobody waits for ever.
+    assert sim.answers == {"outcome-unknown": 2, "no-majority": 1}
+    # Later it knows that it is alone: nothing of this can be written.
+    sim.submit(old, "c", b"x")
+    sim.submit(leader(sim), "d", b"x")
+    sim.run(2500 * MS)
+    assert sim.answers["no-majority"] == 2 and sim.answers["done"] == 1 and "d" in sim.acked
+    sim.settle()
+
+
+def test_a_member_that_was_stopped_answers_nothing_stale() -> None:
+    sim = group()
+    old = leader(sim)
+    sim.pause(old)
+    sim.run(2 * SECOND)
+    sim.submit(leader(sim), "a", b"x")
+    sim.run(SECOND)
+    assert "a" in sim.acked
+    host = sim.hosts[old]
+    host.paused, host.inbox = False, []  # All that was sent to it meanwhile is lost.
+    ticket = sim.read(old)
+    assert ticket in sim.waiting  # It asks first.
+    sim.run(2 * SECOND)
+    assert ticket not in sim.waiting and sim.answers["done"] == 2  # `check_answer` holds the floor against it.
+    sim.settle()
+
+
+def test_cut_one_way_the_leader_stays_where_a_majority_hears_it() -> None:
+    sim = group()
+    first, deaf = leader(sim), follower(sim)
+    sim.cuts = {(first, deaf)}
+    sim.run(5 * SECOND)
+    assert leader(sim) == first and sim.notes["group-leaves"] == 0
+    sim.cuts = {(other, first) for other in sim.hosts}  # It hears nobody, and all hear it.
+    sim.run(3 * SECOND)
+    assert leader(sim) != first and sim.notes["group-doubts"] == 1
+    sim.settle()
+
+
+def test_blank_ones_recover_and_lose_nothing_while_too_many_of_them_wait() -> None:
+    sim = group(voters=5)
+    fill(sim, 5)
+    two = [name for name in sim.voters if name != leader(sim)][:2]
+    for name in two:
+        sim.crash(name)
+        sim.start(name)
+    sim.run(SECOND)
+    assert sim.notes["group-recovered"] == 2
+    sim.settle()
+    for name in sim.voters[:3]:  # A majority at once: no one may claim that all is empty.
+        sim.crash(name)
+        sim.start(name)
+    sim.run(5 * SECOND)
+    assert sim.notes["group-born"] == 5
+    assert all(sim.hosts[name].replica.status is Status.BLANK for name in sim.voters[:3])  # type: ignore[union-attr]
+
+
+def test_all_restart_from_their_folders_at_once() -> None:
+    for seed in range(5):
+        sim = group(seed=seed, disk=True)
+        for number in range(20):
+            sim.submit(follower(sim), f"a{number}", b"x")
+            sim.run(3 * MS)
+        for name in sim.voters:
+            sim.crash(name)
+        for name in sim.voters[:2]:  # One stays away.
+            sim.start(name)
+        sim.run(3 * SECOND)
+        assert leader(sim)
+        sim.settle()
+
+
+def test_laggards_get_pieces_of_a_snapshot_and_logs_stay_bounded() -> None:
+    for disk in (False, True):
+        sim = group(copies=1, disk=disk, timing=SMALL)
+        late = follower(sim)
+        alone(sim, late)
+        for block in range(10):
+            fill(sim, 20, tag=f"f{block}.")
+        assert len(sim.acked) == 200
+        sim.crash("c1")
+        sim.hosts["c1"].saved = None
+        chunks = sim.sent["Chunk"]
+        sim.settle()
+        assert sim.sent["Chunk"] - chunks > 20
+        for host in sim.hosts.values():
+            assert host.replica and len(host.replica.core.log.entries) <= 3 * SMALL.snapshot_entries
+            assert len(host.replica.core.tokens.kept) <= SMALL.tokens
+
+
+def test_a_token_writes_once_and_answers_again() -> None:
+    sim = group()
+    sim.submit(leader(sim), "a", b"x")
+    sim.submit(follower(sim), "a", b"x")
+    sim.run(SECOND)
+    sim.submit(follower(sim), "a", b"y")
+    sim.submit(leader(sim), "", b"bad")
+    sim.run(SECOND)
+    assert sim.answers == {"done": 3, "token-reused": 1} and list(sim.tokens).count("a") == 1
+    sim.submit(leader(sim), "big", b"x" * (PLAIN.command_bytes + 1))
+    assert sim.answers["too-large"] == 1
+
+
+def test_what_waits_is_bounded_and_ends_with_the_program() -> None:
+    sim = group(timing=PLAIN._replace(waiting=4))
+    alone(sim, follower(sim))
+    name = next(one for one in sim.voters if (one, leader(sim)) in sim.cuts)
+    for number in range(6):
+        sim.submit(name, f"a{number}", b"x")
+    assert sim.answers == {"too-many-promises-wait": 2}
+    sim.do(sim.hosts[name], sim.hosts[name].replica.stop(sim.now))  # type: ignore[union-attr]
+    assert sim.answers["outcome-unknown"] == 4 and not sim.waiting
+
+
+def test_members_that_are_not_what_they_seem_halt_by_name() -> None:
+    sim = group(disk=True)
+    fill(sim, 3)
+    name = follower(sim)
+    folder = sim.hosts[name].saved
+    fill(sim, 3, tag="g")
+    sim.crash(name)
+    assert folder is not None
+    sim.start(name, folder)
+    sim.run(2 * SECOND)
+    assert sim.hosts[name].halts == [Reason.OLD_FOLDER]
+    sim.settle()
+    # The same name under a newer incarnation, and under the same one in another process.
+    for more, reason in ((1, Reason.SUPERSEDED), (0, Reason.CLONED)):
+        sim = group()
+        fill(sim, 3)
+        name = follower(sim)
+        held = sim.hosts[name].replica
+        assert held is not None
+        other = Replica(name, sim.voters, [], Counting(), 1, held.core.incarnation + more, None, False,
+                        now=sim.now)
+        birth.be_born(other.core, sim.now, ())
+        found = list[Any]()
+        for one in (other, held):
+            row = one.core.own_row()
+            found += (held if one is other else other).hear(sim.now, leader(sim), messages.Beat(
+                incarnation=sim.hosts[leader(sim)].replica.core.incarnation, view=0, group="",  # type: ignore[union-attr]
+                round=0, top=0, committed=0, rows=(row,), voters=tuple(sim.voters)))
+        assert [one.reason for one in found if hasattr(one, "why")] == [reason]
+    # A member with another idea of who votes, and one of another group.
+    sim = Sim(3, 3)
+    sim.start("n1")
+    sim.start("n2")
+    host = sim.hosts["n3"]
+    host.replica = Replica("n3", ["n3", "n2", "n1"], [], Counting(), 1, 1, None, False)
+    sim.wake(host)
+    sim.run(SECOND)
+    assert host.halts == [Reason.OTHER_MEMBERS] and sim.notes["group-born"] == 0
+
+
+def test_members_of_two_groups_that_meet_refuse_each_other() -> None:
+    sim = group()
+    name = follower(sim)
+    one = sim.hosts[name].replica
+    assert one is not None
+    one.core.group = "another"
+    sim.run(SECOND)
+    sim.heal()
+    fill(sim, 1)
+    assert sim.notes["group-stranger"] >= 1 and one.committed < len(sim.log)
+    for other in sim.voters:
+        if other != name:
+            birth.strange(one.core, other, "group")
+    assert one.status is Status.HALTED
+
+
+def test_a_frozen_replica_goes_on_as_the_same() -> None:
+    """Thawed before each call, a member does what it would have done."""
+    class Thawing(Sim):
+        def feed(self, host: Any, life: int, call: Any) -> None:
+            if host.replica is not None and host.life == life and not host.paused:
+                old = host.replica
+                frozen = old.freeze()
+                hash(frozen)
+                host.replica = Replica.thaw(host.name, self.voters, self.copies, Counting(), self.disk, self.timing,
+                                            frozen, noop=b"noop")
+                assert host.replica.freeze() == frozen and host.replica.next_at == old.next_at
+            super().feed(host, life, call)
+
+    sims = [kind(7, 3, 1, True, SMALL, lose=0.05, late=0.02) for kind in (Sim, Thawing)]
+    for sim in sims:
+        for name in sim.hosts:
+            sim.start(name)
+        sim.run(SECOND)
+        fill(sim, 40, "c1")
+        sim.crash("n1")
+        fill(sim, 40, "n2", tag="g")
+        sim.settle()
+    assert sims[0].log == sims[1].log and sims[0].sent == sims[1].sent
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(st.binary(max_size=60), st.integers(0, 200), st.integers(0, 255))
+def test_bytes_that_are_no_message_are_refused(junk: bytes, place: int, value: int) -> None:
+    good = encode(Told(incarnation=1, view=2, asked=3, round=4, normal=True, group="g", number=5,
+                       lives=(("n1", 1),), birth=(), rows=()))
+    flipped = bytearray(good)
+    flipped[place % len(good)] = value
+    for data in (junk, messages.WIRE.to_bytes(1, "big") + junk, good[:place], bytes(flipped)):
+        try:
+            decode(data)
+        except UnreadableError as error:
+            assert error.reason in ("unreadable", "other-version")
+    assert decode(good).view == 2
+    with pytest.raises(UnreadableError, match="too-large"):
+        decode(good + bytes(messages.MESSAGE_MOST))
+
+
+def test_messages_that_no_member_of_ours_sends_do_no_harm() -> None:
+    sim = group()
+    name, head = follower(sim), sim.hosts[leader(sim)].replica
+    assert head is not None
+    life = sim.hosts[name].replica.core.incarnation  # type: ignore[union-attr]
+    before = head.committed
+    head.hear(sim.now, name, Have(incarnation=life, view=head.view, round=9, number=10**9, committed=0, status=""))
+    head.hear(sim.now, "stranger", Have(incarnation=1, view=head.view, round=9, number=1, committed=0, status=""))
+    head.hear(sim.now, name, Chunk(incarnation=life, view=head.view, group="", after=0, entries=(), top=9,
+                                   committed=9, snapshot=0, offset=0, total=0, data=b""))
+    assert head.committed == before and head.status is Status.NORMAL
+    sim.settle()
+
+
+def test_effects_keep_their_order_and_what_vouches_waits_for_the_disk() -> None:
+    one = Replica("n1", ["n1"], [], Counting(), 1, 5, None, True, noop=b"noop")
+    first = one.due(0, WALL)
+    assert [type(effect).__name__ for effect in first] == ["Write", "Note", "Note"] and one.committed == 0
+    done = one.synced(MS, 1)
+    assert [effect.entry.number for effect in done if isinstance(effect, Applied)] == [1] and one.committed == 1
+    one.submit(2 * MS, WALL, 1, "a", b"x", SECOND)
+    assert one.committed == 1  # Not before its own write is synced.
+    again = Replica("n1", ["n1"], [], Counting(), 1, 6, Saved("g", 5, 0, 0, 1, None, one.core.log.entries[:1]), True,
+                    noop=b"noop")  # type: ignore[arg-type]
+    assert again.status is Status.CHANGING
+    assert not [effect for effect in again.due(0, WALL) if isinstance(effect, Send | Restored)]
