--- a/ambershift/modelcheck/mutants/policy.py
+++ b/ambershift/modelcheck/mutants/policy.py
@@ -6,7 +6,8 @@
 
 from ambershift import interface as api
 from ambershift.modelcheck.mutants.words import Mutant
-from ambershift.policy import TableManager
+from ambershift.policy import TableManager, health
+from ambershift.policy.state import State
 
 
 def drains_count_from_the_next_list(real: Any) -> Any:
@@ -31,9 +32,9 @@
 
 
 def tries_once_more(real: Any) -> Any:
-    def judge(self: TableManager) -> None:
-        real(self)
-        self.again = api.Again.ONCE
+    def judge(state: State) -> None:
+        real(state)
+        state.again = api.Again.ONCE
     return judge
 
 
@@ -61,7 +62,7 @@
         "policy",
         "no-level-lets-a-flow-run-twice",
         "levels allow a try after a time-out",
-        TableManager,
+        health,
         "judge",
         tries_once_more,
     ),
