--- a/ambershift/group/counting.py
+++ b/ambershift/group/counting.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
@@ -67,7 +67,7 @@
             raise UnreadableError(f"no samples ({error})") from None
         self.fresh.set()
 
-    def hear(self, now: int, records: Iterable[Record]) -> None:
+    def hear(self, now: int, records: list[Record]) -> None:
         found = [record for record in records if record.kind in WANTED]
         if found:
             self.waiting.extend(found)
--- a/ambershift/group/front.py
+++ b/ambershift/group/front.py
@@ -7,18 +7,19 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from ambershift import interface as api
 from ambershift.admin.words import Refused
 from ambershift.coordinator.program.assembly import Coordinator
 from ambershift.coordinator.program.configuration import BadStartError
 from ambershift.group.at_desk import AtDesk
 from ambershift.group.counting import Counting
 from ambershift.group.guard import Guard
+from ambershift.group.learned import Learned
 from ambershift.group.life import NoFolderError
 from ambershift.group.member import Member
 from ambershift.group.promise import Promises
 from ambershift.group.spec import spec_of
 from ambershift.group.standings import Others, standings
+from ambershift.group.tap import GroupTap, Known
 from ambershift.group.upkeep import Upkeep
 from ambershift.maintenance.limits import Limits
 from ambershift.maintenance.words import Standing
@@ -27,7 +28,6 @@
 from ambershift.runtime.front import RuntimeFront
 from ambershift.runtime.places import TcpPlace, UnixPlace
 from ambershift.runtime.scene import Scene
-from ambershift.runtime.tap import DeskTap
 from ambershift.settings.checks import duration
 from ambershift.settings.group import Group
 from ambershift.settings.maintenance import MaintenanceBlock, declared
@@ -36,17 +36,7 @@
 if TYPE_CHECKING:
     from ambershift.interference.engine import Engine
 
-
-class GroupTap(DeskTap):
-    """Of a server that no list had before, the desk learns first what the group wants of it."""
-
-    def __init__(self, front: RuntimeFront, at_desk: AtDesk) -> None:
-        super().__init__(front.desk, front.now, front.moved)
-        self.at_desk = at_desk
-
-    def listed(self, event: api.Listed) -> api.Listed:
-        self.at_desk.before_list(event)
-        return super().listed(event)
+LEARN_EVERY = 1_000_000_000
 
 
 class GroupFront(RuntimeFront):
@@ -60,12 +50,17 @@
         self.at_desk = AtDesk(self.desk, door, self.now, spec.clock_ahead, self.moved)
         guard = Guard(self.desk, door, self.now, partial(tell, self.scene), self.apart)
         seed = coordinator.start.seed ^ hash_of(spec.me)
-        self.member = Member(spec, PromisesMachine(guard), self.at_desk,
-                             lambda: self.now() + spec.clock_ahead, note, seed)
-        self.member.gossip.steered = lambda: len(self.desk.mirror.picture.seats)
+        self.member = Member(spec, PromisesMachine(guard), self.at_desk, self.now, note, seed)
+        gossip = self.member.gossip
+        gossip.steered = lambda: len(self.desk.mirror.picture.seats)
+        self.learned = Learned(gossip.store, Known(coordinator.admit), coordinator.start.terms.cold,
+                               self.now())
+        self.learned_at = 0
+        gossip.news.append(self.learned.heard)
+        gossip.beats.append(self.learn)
         self.promises = Promises(self.member, door.ids.__getitem__)
         self.scene.common = self.promises
-        self.tap = GroupTap(self, self.at_desk)
+        self.tap = GroupTap(self.desk, self.now, self.moved, self.at_desk, self.learned)
         terms, maintained = coordinator.start.terms, root.maintenance
         limits = Limits(clock_bound=spec.clock_bound, warm=terms.cold)
         if isinstance(maintained, MaintenanceBlock):
@@ -78,6 +73,12 @@
         self.promises.interfered = lambda: list(self.counting.scores.rows)
         self.others = Others(interfered=lambda server: self.counting.scores.interfered.get(server, 0.0))
 
+    def learn(self, now: int) -> None:
+        if now >= self.learned_at + LEARN_EVERY and not self.desk.stopping:
+            self.learned_at = now
+            for event in self.learned.due(now, self.desk.mirror.picture):
+                self.coordinator.route.put(event)
+
     def look(self) -> dict[str, Standing]:
         return standings(self.desk, self.coordinator.admit.door, self.scene.zone_name, self.now(),
                          self.others)
--- a/ambershift/group/gossip.py
+++ b/ambershift/group/gossip.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -42,13 +42,14 @@
         self.steered: Callable[[], int] = lambda: 0
         # Those who put records of their own, or read what came: called each beat, and with what is new.
         self.beats = list[Callable[[int], None]]()
-        self.news = list[Callable[[int, Iterable[Record]], None]]()
+        self.news = list[Callable[[int, list[Record]], None]]()
         self.task: asyncio.Task[None] | None = None
         self.turn = 0
 
     def live(self, incarnation: int) -> None:
-        """A new life: what others said before still counts, by its age, but it is asked for again."""
-        self.store = Store(self.member.spec.me, incarnation)
+        """A new life. What others said still counts, by its age, and one's own words are said anew: to all
+        others they are those of a newer origin."""
+        self.store.origins[self.store.me].incarnation = incarnation
 
     def open(self) -> None:
         self.task = asyncio.get_running_loop().create_task(self.run())
--- a/ambershift/group/member.py
+++ b/ambershift/group/member.py
@@ -29,12 +29,12 @@
 
 
 class Member:
-    """`wall` is this member's wall clock, what its clock is set ahead included."""
+    """`now` never goes back; `wall` is this member's wall clock, what its clock is set ahead included."""
 
-    def __init__(self, spec: Spec, machine: PromisesMachine, at_desk: AtDesk, wall: Callable[[], int],
+    def __init__(self, spec: Spec, machine: PromisesMachine, at_desk: AtDesk, now: Callable[[], int],
                  note: Note, seed: int) -> None:
-        self.spec, self.machine, self.at_desk, self.wall, self.note = spec, machine, at_desk, wall, note
-        self.seed, self.now = seed, time.monotonic_ns
+        self.spec, self.machine, self.at_desk, self.now, self.note = spec, machine, at_desk, now, note
+        self.seed = seed
         self.members = frozenset((*spec.voters, *spec.copies))
         self.links = Links(spec.listen, spec.peers, self, note, seed)
         self.replica: Replica | None = None
@@ -123,6 +123,9 @@
         finally:
             self.asked.pop(ticket, None)
 
+    def wall(self) -> int:
+        return self.now() + self.spec.clock_ahead
+
     def running(self) -> Replica:
         assert self.replica is not None
         return self.replica
--- /dev/null
+++ b/ambershift/group/tap.py
@@ -0,0 +1,49 @@
+"""Tap: what passes in a coordinator with a group goes through what was heard first, then to the desk."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from ambershift import interface as api
+from ambershift.admin.desk import Desk
+from ambershift.coordinator.routing.admit import Admit
+from ambershift.group.at_desk import AtDesk
+from ambershift.group.learned import Learned
+from ambershift.runtime.tap import DeskTap
+
+
+class GroupTap(DeskTap):
+    """Of a server that no list had before, the desk learns first what the group wants of it."""
+
+    def __init__(self, desk: Desk, now: Callable[[], int], moved: Callable[[], None], at_desk: AtDesk,
+                 learned: Learned) -> None:
+        super().__init__(desk, now, moved)
+        self.at_desk, self.learned = at_desk, learned
+
+    def listed(self, event: api.Listed) -> api.Listed:
+        event = self.learned.listed(self.now(), event)
+        self.at_desk.before_list(event)
+        return super().listed(event)
+
+    def stepped(self, now: int, events: Sequence[api.Event]) -> None:
+        super().stepped(now, self.learned.stepped(now, events))
+
+
+class Known:
+    """The names of `learned.Names`, from those that the coordinator admits."""
+
+    def __init__(self, admit: Admit) -> None:
+        self.admit = admit
+
+    def server(self, index: int) -> str | None:
+        return self.admit.door.ids.get(index)
+
+    def index(self, server: str) -> int | None:
+        return self.admit.door.known(server)
+
+    def zone(self, index: int) -> str | None:
+        zones = self.admit.names.zones
+        return zones[index] if 0 <= index < len(zones) else None
+
+    def zone_index(self, zone: str) -> int | None:
+        return self.admit.zones.get(zone)
