--- /dev/null
+++ b/tests/test_group.py
@@ -0,0 +1,462 @@
+"""What a group has promised, at the desk: adopted, judged by the leader, kept by clocks that are apart."""
+
+import asyncio
+import random
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from operated import Operated, some_changes
+from plain import S, entry, make_terms
+
+from ambershift import interface as api
+from ambershift.admin.words import NEVER, Change, Health, Origin, Reason, Standing, State, Weight
+from ambershift.door import Door
+from ambershift.group.at_desk import AtDesk
+from ambershift.group.clocks import LASTS, Clocks
+from ambershift.group.guard import Guard
+from ambershift.group.promise import Promises as Promised
+from ambershift.group.standings import Others, standings
+from ambershift.maintenance.words import Declared, Permit, Phase, Trouble, Work
+from ambershift.promises.answers import Outcome, encode, encode_answer, read_answer, refused
+from ambershift.promises.machine import PromisesMachine
+from ambershift.promises.state import EMPTY
+from ambershift.promises.words import Answered, Command, Declare, Grant, Move, Wishes, WishOne
+from ambershift.replication.words import Answer, Entry
+from ambershift.replication.words import Reason as Why
+from ambershift.settings.model import read_text
+from ambershift.settings.tree import SettingsError
+from ambershift.standins.rig import Rig
+
+READY, DRAIN, MAINT = State.READY, State.DRAIN, State.MAINT
+
+
+class Member(Operated):
+    """A coordinator of a group in virtual time; `held` says what its log has made."""
+
+    def __init__(self, count: int = 6, zones: int = 2, ahead: int = 0, **terms: Any) -> None:
+        self.door, self.held, self.number, self.answers = Door[str](), EMPTY, 0, list[bytes]()
+        super().__init__(make_terms(zones=zones, **terms), [])
+        self.at_desk = AtDesk(self.desk, self.door, lambda: self.now, ahead, lambda: None)
+        self.guard = Guard(self.desk, self.door, lambda: self.now, lambda one: one.reason.value,
+                           lambda: self.apart)
+        self.machine, self.apart, self.ahead = PromisesMachine(self.guard), False, ahead
+        self.tell(*[api.Joined(proxy, proxy % zones, 5.0, True) for proxy in range(2 * zones)])
+        self.list_of(range(count))
+
+    def list_of(self, servers: Any, phase: api.Phase = api.Phase.READY, since: int = 0) -> None:
+        event = api.Listed(False, False, tuple(
+            entry(self.door.index(f"s{one}"), one % 2, phase, since) for one in servers))
+        self.at_desk.before_list(event)
+        self.tell(event)
+
+    def judge(self, command: Command) -> bytes | None:
+        return self.machine.judge(self.held, self.now + self.ahead, encode(command))
+
+    def apply(self, command: Command) -> Outcome:
+        """As the shell does with what is committed."""
+        self.number += 1
+        entry_ = Entry(1, self.number, self.now + self.ahead, "", encode(command))
+        self.held, answer = self.machine.apply(self.held, entry_)
+        outcome = read_answer(answer)
+        if outcome.done and outcome.changed:
+            if isinstance(command, Wishes):
+                self.at_desk.wishes(self.held, outcome.changed, command.who, command.text)
+            else:
+                self.at_desk.permits(self.held)
+        return outcome
+
+    def wish(self, *changes: tuple[int, dict[str, Any]], who: str = "op") -> Wishes:
+        return Wishes(who, f"{changes}", tuple(WishOne(f"s{at}", **what) for at, what in changes))
+
+    def shuts(self) -> list[int]:
+        """Each order that shuts a server out, as often as it was given."""
+        return [one.server for one in self.ordered if isinstance(one, api.Withdraw) and one.out]
+
+    def settle(self, turns: int = 8) -> None:
+        for _ in range(turns):
+            self.run(S)
+
+
+def out(*servers: int, state: State = MAINT) -> tuple[tuple[int, dict[str, Any]], ...]:
+    return tuple((one, {"state": int(state)}) for one in servers)
+
+
+def permit(member: Member, server: int, ends: int) -> Permit:
+    at = member.now + member.ahead
+    return Permit(f"w/s{server}/1", "w", f"s{server}", Phase.DRAINING, at, ends, (), 1.0)
+
+
+def declare(*servers: int) -> Declare:
+    return Declare(Declared(1, (), (Work("w", tuple(f"s{one}" for one in servers), S, 1 << 62, 0),)))
+
+
+def test_what_is_adopted_acts_as_a_command_and_once() -> None:
+    member = Member()
+    member.apply(member.wish(*out(0)))
+    member.settle()
+    assert member.shuts() == [0]
+    # Again, by another and in another word for the same; then a snapshot that says nothing new.
+    for again in (member.wish(*out(0), who="other"), member.wish(*out(0), (0, {"health": 0}))):
+        member.apply(again)
+    member.at_desk.all(member.held)
+    member.settle()
+    assert member.shuts() == [0] and member.desk.commands == 1
+    member.at_desk.all(EMPTY._replace(wishes=member.held.wishes.insert("s2", Standing(
+        DRAIN, Health.UP, None, Origin("x", 1, 2)))))
+    member.settle()
+    assert member.shuts() == [0, 2]
+    member.at_desk.all(EMPTY)  # What a snapshot has no more is taken back.
+    member.settle()
+    assert not member.shut and member.desk.world.wish(0).state is READY
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_members_with_different_lists_come_to_the_same_wishes(seed: int) -> None:
+    """Generated days: lists come late and in parts, one member restarts, and the last word stands at all."""
+    rng = random.Random(seed)
+    members = [Member(count=6) for _ in range(2)]
+    fresh = Member(count=0)
+    for _ in range(30):
+        changes = some_changes(rng, 8)
+        command = Wishes("op", "x", tuple(WishOne(
+            f"s{one.server}", None if one.state is None else int(one.state),
+            None if one.health is None else int(one.health),
+            None if one.weight is None else (one.weight.figure, one.weight.relative), one.as_listed)
+            for one in changes))
+        if members[0].judge(command) is None:
+            for member in members:
+                member.apply(command)
+        for member in members:
+            if rng.random() < 0.2:
+                member.list_of([rng.randrange(8)], rng.choice(list(api.Phase)[:2]))
+            member.run(S)
+    fresh.held = members[0].held
+    fresh.at_desk.all(fresh.held)
+    for member in (*members, fresh):
+        member.list_of(range(8))
+        member.settle(20)
+    for member in (*members, fresh):
+        assert member.desk.waiting.keys() <= set(), member.desk.waiting
+        for one in range(8):
+            index = member.door.known(f"s{one}")
+            assert index is not None
+            assert member.desk.world.own(index)._replace(origin=NEVER) == member.held.wish(
+                f"s{one}")._replace(origin=NEVER), one
+            assert (index in member.shut) == (
+                member.desk.world.wish(index).out and index not in member.desk.world.lent), one
+
+
+def test_wishes_of_the_unlisted_wait_and_come_before_the_server_does() -> None:
+    member = Member(count=4)
+    member.apply(member.wish(*out(4), (5, {"weight": (0.5, True)})))
+    assert not member.desk.waiting
+    member.list_of([4, 5])
+    member.settle()
+    four, five = member.door.known("s4"), member.door.known("s5")
+    assert member.desk.told[four].phase == api.Phase.DRAINING  # type: ignore[index]
+    assert member.desk.told[five].weight == pytest.approx(0.5 * entry(5, 1).weight)  # type: ignore[index]
+    assert not any(isinstance(one, api.Share) and one.server == four and one.weight
+                   for one in member.ordered), "it had a line before it was shut out"
+    # A server that is forgotten and listed anew has another index, and the same wish.
+    member.list_of([4], api.Phase.GONE)
+    member.door.forget(four)  # type: ignore[arg-type]
+    member.list_of([4])
+    assert member.desk.world.wish(member.door.known("s4")).state is MAINT  # type: ignore[arg-type]
+
+
+def test_two_operators_at_two_members_do_not_drain_a_zones_last_two() -> None:
+    """Each would pass at home: the leader judges by what its log holds, committed or not."""
+    leader = Member(count=4)  # Of zone 0: s0 and s2.
+    first, second = leader.wish(*out(0)), leader.wish(*out(2))
+    assert leader.judge(first) is None and leader.judge(second) is None
+    committed, log = leader.held, leader.machine.apply(leader.held, Entry(1, 1, 1, "", encode(first)))[0]
+    assert leader.desk.world.own(0).state is READY and committed is EMPTY
+    answer = leader.machine.judge(log, leader.now, encode(second))
+    assert answer is not None and Reason.ZONE_WITHOUT_WARM.value.encode() in answer
+    # The same by a permit in the log: it counts until it is closed, whatever this clock says.
+    leader.held = EMPTY
+    leader.apply(declare(0, 2))
+    leader.apply(Grant(leader.held.permits_touched, (permit(leader, 0, leader.now + S),)))
+    leader.now += 60 * S
+    assert leader.judge(second) is not None
+    grant = leader.judge(Grant(leader.held.permits_touched, (permit(leader, 2, leader.now + S),)))
+    assert grant is not None and b"zone-without-warm" in grant
+    leader.apply(Move(leader.held.permits_touched, "w/s0/1", Phase.RETURNING, 0))
+    assert leader.judge(second) is None
+    # What its list has not is no loss of its own; what it refuses by its list alone is told by name.
+    assert leader.judge(leader.wish(*out(77))) is None
+    assert leader.judge(leader.wish((1, {"weight": (0.0, False)}), (3, {"health": 2}))) is not None
+
+
+def test_a_leader_whose_clock_is_apart_grants_nothing() -> None:
+    leader = Member(count=8)
+    leader.apply(declare(0, 1))
+    grant = Grant(leader.held.permits_touched, (permit(leader, 0, leader.now + S),))
+    assert leader.judge(grant) is None
+    leader.apart = True
+    answer = leader.judge(grant)
+    assert answer is not None and b"clock-apart" in answer
+
+
+@pytest.mark.parametrize("ahead", [0, 3 * S, -3 * S])
+def test_of_a_permit_and_an_operators_word_the_stricter_holds_until_the_end(ahead: int) -> None:
+    """At the end of the permit by one's own clock."""
+    member = Member(count=8, ahead=ahead)
+    member.apply(declare(0, 1, 2))
+    ends = member.now + ahead + 20 * S
+    member.apply(Grant(member.held.permits_touched, (permit(member, 0, ends), permit(member, 1, ends))))
+    member.apply(member.wish(*out(1, state=DRAIN)))
+    member.settle(4)
+    assert member.shut >= {0, 1} and member.desk.world.wish(1).state is MAINT
+    assert member.desk.world.own(1).state is DRAIN
+    # An operator's word that lets in takes nothing from the permit, and one that keeps out outlives it.
+    member.apply(member.wish(*out(0, state=READY)))
+    member.settle(2)
+    assert 0 in member.shut and member.at_desk.held_out("s0")
+    while member.now + ahead < ends:
+        assert 0 in member.shut and member.desk.next_at(member.now) is not None
+        member.run(S)
+    member.settle(3)
+    assert 0 not in member.shut and 1 in member.shut and not member.at_desk.held_out("s0")
+    assert member.shuts().count(0) == 1
+
+
+def test_permits_that_return_or_close_let_in_and_an_apart_clock_holds_nothing() -> None:
+    member = Member(count=8)
+    member.apply(declare(0, 1, 2, 4))
+    ends = member.now + 600 * S
+    member.apply(Grant(member.held.permits_touched, tuple(permit(member, one, ends) for one in (0, 2, 4, 1))))
+    member.settle()
+    assert member.shut == {0, 2, 4, 1} and member.at_desk.drained("s0")
+    for server, phase in ((0, Phase.RETURNING), (2, Phase.CLOSED), (4, Phase.OUT)):
+        member.apply(Move(member.held.permits_touched, f"w/s{server}/1", phase, ends))
+    member.settle()
+    assert member.shut == {4, 1} and not member.at_desk.held_out("s0") and not member.at_desk.drained("s0")
+    member.at_desk.hold(False)
+    member.settle()
+    assert not member.shut and not member.at_desk.drained("s4")
+    member.at_desk.hold(True)
+    member.settle()
+    assert member.shut == {4, 1}
+
+
+def test_rule_one_outlives_all_promises() -> None:
+    """What is promised is not refused at a member whose list lost all others; a server is lent back there."""
+    member = Member(count=4)
+    member.apply(declare(0))
+    member.apply(Grant(member.held.permits_touched, (permit(member, 0, member.now + 600 * S),)))
+    member.apply(member.wish(*out(1)))
+    member.settle()
+    member.list_of([2, 3], api.Phase.GONE)
+    member.run(S)
+    assert member.desk.world.lent and not member.ready() <= member.shut
+    lent = set(member.desk.world.lent)
+    assert lent == {0, 1}  # Both are under maintenance, so that neither is milder.
+    member.list_of([2, 3])
+    member.settle(10)
+    assert not member.desk.world.lent and member.shut >= {0, 1}
+
+
+def test_how_servers_stand_for_maintenance() -> None:
+    member = Member(count=8, cold=60 * S)
+    member.apply(declare(0))
+    member.apply(Grant(member.held.permits_touched, (permit(member, 0, member.now + 600 * S),)))
+    member.apply(member.wish(*out(1), (2, {"weight": (0.5, True)})))
+    member.settle()
+    member.list_of([3], api.Phase.DRAINING)
+    member.list_of([9], since=member.now - S)
+    member.tell(*[api.Met(0, 4, 40, 40, 0, S, ()) for _ in range(3)])
+    member.settle(3)
+    found = standings(member.desk, member.door, str, member.now,
+                      Others(ill=lambda one: one == "s5", cut=lambda one: one == "s1",
+                             interfered=lambda one: 0.25 * (one == "s6")))
+    told = {name: one.trouble for name, one in found.items()}
+    assert told["s0"] is None and told["s1"] is Trouble.WISHED_OUT and told["s3"] is Trouble.LISTED_OUT
+    assert told["s5"] is Trouble.ILL and told["s9"] is Trouble.COLD and told["s6"] is None
+    assert found["s2"].weight == pytest.approx(0.5 * entry(2, 0).weight) and found["s6"].interfered == 0.25
+    assert found["s9"].warm_at > member.now and not found["s0"].warm_at
+    assert (told["s4"] is Trouble.ILL) == (4 in member.shut)
+
+
+def test_clocks_apart_from_the_middle() -> None:
+    clocks, now = Clocks(S), 100 * S
+    assert not clocks.apart(now)  # Alone there is nothing to be apart from.
+    clocks.heard(now, 50 * S, "b", 53 * S, 0)
+    clocks.heard(now, 50 * S, "c", 45 * S, 8 * S)  # Old on its way, and 3 s ahead by its age.
+    assert clocks.ahead(now, "c") == 3 * S and clocks.apart(now)
+    clocks.heard(now, 50 * S, "d", 50 * S, 0)
+    clocks.heard(now, 50 * S, "e", 50 * S, 0)
+    assert not clocks.apart(now)  # It is two others that are off now.
+    # A word that came late makes a clock look behind; the one that came soonest counts.
+    clocks.heard(now + S, 51 * S, "d", 40 * S, 0)
+    assert clocks.ahead(now + S, "d") == 0
+    assert not clocks.apart(now + 2 * LASTS) and clocks.ahead(now + 2 * LASTS, "b") == 0
+
+
+# The runtime API
+
+class Said:
+    """A member that answers as told, and keeps what it was asked."""
+
+    def __init__(self, *answers: Answer) -> None:
+        self.answers, self.asked = iter(answers), list[tuple[str, Command]]()
+        self.halted: tuple[str, str] | None = None
+        self.state = EMPTY
+
+    async def submit(self, token: str, command: Command, wait: int) -> Answer:
+        self.asked.append((token, command))
+        return next(self.answers)
+
+
+def stands(outcome: Outcome) -> Answer:
+    return Answer(1, None, encode_answer(outcome), 0)
+
+
+def failed(reason: Why, retry: int = 0) -> Answer:
+    return Answer(1, reason, b"", retry)
+
+
+BARE = refused(Reason.ZONE_WITHOUT_WARM, "no warm one")
+ANSWERS: list[tuple[str, list[Answer], str, int]] = [
+    ("", [stands(Outcome(True))], "Done.", 1),
+    ("T", [stands(Outcome(True))], "Done.", 1),
+    ("", [failed(Why.NO_MAJORITY, 3 * S)], "Refused (no-majority)|come back in 3 s", 1),
+    ("T", [failed(Why.OUTCOME_UNKNOWN)], "Unknown (outcome-unknown)|ask again with 'once T'", 1),
+    ("", [failed(Why.OUTCOME_UNKNOWN)], "Unknown (outcome-unknown)|ask again with 'once own-", 1),
+    ("T", [failed(Why.TOKEN_REUSED)], "Refused (token-reused)", 1),
+    ("", [failed(Why.TOO_MANY_WAIT, S)], "Refused (too-many-promises-wait)|come back in 1 s", 1),
+    ("", [failed(Why.STOPPING)], "Refused (stopping)", 1),
+    ("", [failed(Why.TOO_LARGE)], "Refused (too-large)", 1),
+    ("", [stands(BARE)], "Refused (zone-without-warm-server): no warm one.", 1),
+    # Under a token a refusal is written, and what stands under it by then is the answer.
+    ("T", [stands(BARE), stands(BARE)], "Refused (zone-without-warm-server): no warm one.", 2),
+    ("T", [stands(BARE), stands(Outcome(True))], "Done.", 2),
+    ("T", [stands(BARE), failed(Why.OUTCOME_UNKNOWN)], "Unknown (outcome-unknown)", 2),
+]
+
+
+@pytest.mark.parametrize("token,answers,words,asked", ANSWERS)
+def test_answers_say_what_stands(token: str, answers: list[Answer], words: str, asked: int) -> None:
+    said = Said(*answers)
+    promised = Promised(said, lambda one: f"s{one}")  # type: ignore[arg-type]
+    change = Change(0, state=MAINT, weight=Weight(0.5, True))
+    answer = asyncio.run(promised.promise("op", token, "the text", [change], S))
+    text = "\n".join(answer.lines)
+    assert all(part in text for part in words.split("|")), text
+    assert len(said.asked) == asked and len({one for one, _ in said.asked}) == 1
+    assert said.asked[0][1] == Wishes("op", "the text", (WishOne("s0", 2, None, (0.5, True)),))
+    if asked == 2:
+        assert said.asked[1] == (token, Answered("the text", BARE.reason, BARE.text))
+        machine = PromisesMachine()
+        assert machine.digest(encode(said.asked[0][1])) == machine.digest(encode(said.asked[1][1]))
+
+
+def test_a_refusal_that_is_written_is_not_refused_itself() -> None:
+    machine = PromisesMachine(lambda state, at, command: BARE)
+    told = encode(Answered("x", BARE.reason, BARE.text))
+    assert machine.judge(EMPTY, 0, told) is None
+    state, answer = machine.apply(EMPTY, Entry(1, 1, 0, "T", told))
+    assert state is EMPTY and answer == encode_answer(BARE)
+
+
+# Settings
+
+GROUP = """group {
+  name = "g"
+  me = "a"
+  listen = "127.0.0.1:7101"
+%s  member "a" { address = "127.0.0.1:7101" }
+  member "b" { address = "127.0.0.1:7102" }
+  member "c" { address = "127.0.0.1:7103"
+  %s }
+}
+"""
+BAD = [
+    ('  folder = "relative"\n', "", 5, "group.folder"),
+    ('  clock_bound = "soon"\n', "", 5, "group.clock_bound"),
+    ('  clock_ahead = "+2s"\n', "", 5, "group.clock_ahead"), ("", "votes = false", 1, "group.member"),
+    ('  member "b" { address = "127.0.0.1:7109" }\n', "", 7, "group.member[2]"),
+    ('  member "d" { address = "127.0.0.1:7102" }\n', "", 7, "group.member[2].address"),
+    ('  member "d" { address = "10.0.0.1:1" }\n', "", 5, "group.member[0].address"),
+    ('  member "d" { address = "127.0.0.1" }\n', "", 5, "group.member[0].address"),
+    ('  member "d d" { address = "127.0.0.1:4" }\n', "", 5, "group.member[0]"),
+    ('  votes = true\n', "", 5, "group.votes"), ("", "vote = true", 8, "group.member[2].vote"),
+]
+
+
+@pytest.mark.parametrize("more,inner,line,key", BAD, ids=[one[3] + str(at) for at, one in enumerate(BAD)])
+def test_a_contradiction_in_the_group_names_file_line_and_key(more: str, inner: str, line: int, key: str
+                                                              ) -> None:
+    with pytest.raises(SettingsError) as caught:
+        read_text(GROUP % (more, inner), "f.hcl")
+    assert (caught.value.line, caught.value.key) == (line, key) and str(caught.value).startswith("f.hcl:")
+
+
+@pytest.mark.parametrize("old,new,key", [
+    ('me = "a"', 'me = "z"', "group.me"), ("127.0.0.1:7101\"\n", "0.0.0.0:7101\"\n", "group.listen"),
+    ('name = "g"', 'name = "g g"', "group.name"), ('listen = "127.0.0.1:7101"', "", "group.listen"),
+    ("group {", 'runtime {\n tcp "127.0.0.1:7101" {\n }\n}\ngroup {', "group.listen")])
+def test_what_the_group_itself_lacks(old: str, new: str, key: str) -> None:
+    with pytest.raises(SettingsError) as caught:
+        read_text((GROUP % ("", "")).replace(old, new), "f.hcl")
+    assert key == caught.value.key or (caught.value.key, key.rpartition(".")[2]) == ("group", "listen")
+
+
+def test_a_good_group_is_read_and_leaders_follow_from_names() -> None:
+    from ambershift.group.spec import spec_of
+    root = read_text(GROUP % ('  clock_ahead = "-1500ms"\n  folder = "/x"\n  member "0" {\n address = '
+                              '"127.0.0.1:1"\n votes = false\n }\n', "votes = true"), "f")
+    spec = spec_of(root.group)  # type: ignore[arg-type]
+    assert spec.voters == ("a", "b", "c") and spec.copies == ("0",) and spec.clock_ahead == -1_500_000_000
+    assert [peer.name for peer in spec.peers] == ["0", "b", "c"] and spec.clock_bound == S
+
+
+def test_the_platforms_run_loads_nothing_of_a_group() -> None:
+    code = ("import sys, ambershift.coordinator.program.assembly, ambershift.__main__\n"
+            "print([one for one in sys.modules if one.startswith(('ambershift.group', 'ambershift.promises',"
+            "'ambershift.replication', 'ambershift.maintenance', 'ambershift.interference', 'aiohttp',"
+            "'ambershift.admin', 'ambershift.runtime', 'numpy'))])")
+    found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+    assert found.stdout.strip() == "[]", found
+
+
+# Three processes
+
+@pytest.fixture
+def place(tmp_path: Path) -> Iterator[Path]:
+    yield tmp_path
+
+
+def test_three_processes_hold_one_word_through_a_lost_leader(place: Path) -> None:
+    async def play() -> None:
+        async with Rig(place, 3, disk=False) as rig:
+            await rig.settled()
+            assert (await rig.say("n2", "once T disable server east/s-0")).text == "Done."
+            assert (await rig.say("n3", "once T disable server east/s-0")).text == "Done."
+            reused = await rig.say("n1", "once T enable server east/s-0")
+            assert "token-reused" in reused.text
+            bare = [(await rig.say(one, "once U disable server east/*")).text for one in ("n1", "n2")]
+            assert bare[0].startswith("Refused (zone-without-warm-server)") and bare[0] == bare[1]
+            gone = await rig.leader()
+            await rig.kill(gone, wipe=True)
+            rest = rig.running()
+            assert await rig.leader(rest) in rest
+            assert (await rig.say(rest[0], "once T disable server east/s-0")).text == "Done."
+            for one in rest:
+                rows = await rig.rows(one, "show standing json")
+                assert [(row["server"], row["wish"]) for row in rows] == [("east/s-0", "maint")]
+            await rig.members[rest[0]].kill()
+            alone = await rig.say(rest[1], "enable server east/s-0")
+            assert alone.failed and ("outcome-unknown" in alone.text or "no-majority" in alone.text)
+            later = await rig.say(rest[1], "enable server east/s-0")
+            assert later.text.startswith("Refused (no-majority)") and "come back in" in later.text
+            status = await rig.rows(rest[1], "show servers state")
+            assert status is not None
+            rows = await rig.rows(rest[1], "show group json")
+            assert {row["name"]: row["link"] for row in rows if row["name"] in (gone, rest[0])} == {
+                gone: "away", rest[0]: "away"}
+    asyncio.run(play())
