--- a/ambershift/group/guard.py
+++ b/ambershift/group/guard.py
@@ -59,10 +59,16 @@
     def world(self, state: Promises) -> World:
         """This member's list under the wishes and permits of a state. A permit counts until it is closed: the
         clocks of others may be behind."""
-        world = self.desk.world
-        standing = {index: wish for server, wish in state.wishes.items()
-                    if (index := self.known(server)) is not None}
+        world, wishes = self.desk.world, state.wishes
+        standing = world.standing
+        # The desk holds most of them already, the very same ones.
+        for server, wish in wishes.items():
+            if (index := self.known(server)) is not None and world.standing.get(index) is not wish:
+                standing = standing.insert(index, wish)
+        for index in world.standing:
+            if self.door.ids.get(index, "") not in wishes:
+                standing = standing.remove(index)
         permitted = {index: held.permit.ends for held in state.permits.values()
                      if held.permit.phase <= Phase.OUT
                      and (index := self.known(held.permit.server)) is not None}
-        return world._replace(standing=HashTrieMap(standing), permitted=HashTrieMap(permitted))
+        return world._replace(standing=standing, permitted=HashTrieMap(permitted))
