--- a/ambershift/replication/birth.py
+++ b/ambershift/replication/birth.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from ambershift.replication.core import Core, Fetching
+from ambershift.replication.knowing import all_lives, all_rows, learn_lives, learn_rows
 from ambershift.replication.leading import start_leading
 from ambershift.replication.messages import Ask, Blank, Lives, Told
 from ambershift.replication.words import Reason, Status
@@ -21,7 +22,7 @@
         return
     core.ask_at = now + core.fixed.timing.ask
     if not others(core):
-        be_born(core, now, core.all_lives())
+        be_born(core, now, all_lives(core))
         return
     if core.fetching is not None:
         return
@@ -40,8 +41,8 @@
     elif core.fixed.votes:
         core.vouch(sender, Told(incarnation=core.incarnation, view=core.view, asked=message.incarnation,
                                 round=message.round, normal=core.status is Status.NORMAL, group=core.group,
-                                number=core.log.top, lives=core.all_lives(), birth=birth_of(core),
-                                rows=core.all_rows()))
+                                number=core.log.top, lives=all_lives(core), birth=birth_of(core),
+                                rows=all_rows(core)))
 
 
 def birth_of(core: Core) -> Lives:
@@ -84,7 +85,7 @@
     """From here on a member of the new group, with an empty log, in view 0."""
     core.note("group-born", members=[name for name, _ in birth])
     core.birth = birth
-    core.learn_lives(birth)
+    learn_lives(core, birth)
     core.told.clear()
     core.blank_before, core.blank_now = {}, {}
     core.status, core.view, core.sure = Status.NORMAL, 0, 0
@@ -97,8 +98,8 @@
     """f + 1 answers of members at work, and the leader of the newest view among them."""
     if core.status is not Status.BLANK or message.asked != core.incarnation or not core.fixed.votes:
         return
-    core.learn_lives(message.lives)
-    core.learn_rows(message.rows)
+    learn_lives(core, message.lives)
+    learn_rows(core, message.rows)
     if core.status is not Status.BLANK:  # Halted by what it learnt.
         return
     if (core.fixed.me, core.incarnation) in message.birth:
--- a/ambershift/replication/core.py
+++ b/ambershift/replication/core.py
@@ -4,25 +4,19 @@
 
 from typing import Any, NamedTuple
 
-import msgspec
-
 from ambershift.replication.log import Log
 from ambershift.replication.messages import Lives, Message, Vouch
 from ambershift.replication.timing import Timing
 from ambershift.replication.tokens import Tokens
 from ambershift.replication.words import (
-    Applied,
     Effect,
-    Entry,
     Halt,
     Machine,
     Note,
     Reason,
-    Restored,
     Send,
     Snapshot,
     Status,
-    Write,
 )
 
 GROUP = "group:"
@@ -60,7 +54,19 @@
 
 
 Waiter = tuple[str, int, int, int]  # Member, incarnation, ticket, attempt.
-Reader = tuple[str, int, int, int, int]  # Member, incarnation, ticket, round (or 0), number.
+
+
+class Reader(NamedTuple):
+    """A read, or a refusal, that goes out once the leader has shown in a round that it still is it, and all
+    up to `number` is committed. `round` is 0 until one has begun. `attempt` is 0 for a read."""
+
+    member: str
+    incarnation: int
+    ticket: int
+    attempt: int
+    answer: bytes
+    number: int
+    round: int
 
 
 class Fixed(NamedTuple):
@@ -214,196 +220,3 @@
             self.vouching.clear()
             self.fetching = None
             self.out.append(Halt(reason, why))
-
-    def finish(self) -> list[Effect]:
-        """The effects of one call: what the disk needs first, then the rest; what vouches waits for it."""
-        if self.fixed.disk and self.status not in (Status.BLANK, Status.HALTED) and self.dirty():
-            self.out.insert(0, self.write())
-        for to, message in self.vouching:
-            if self.fixed.disk and self.ticket > self.synced:
-                self.held.append((self.ticket, to, message))
-            else:
-                self.send(to, message)
-        self.vouching = []
-        out, self.out = self.out, []
-        return out
-
-    def dirty(self) -> bool:
-        return bool(self.written != (self.view, self.group) or self.written_top != self.log.top or self.cut
-                    or self.snapshot_due)
-
-    def write(self) -> Write:
-        self.ticket += 1
-        snapshot = self.snapshot if self.snapshot_due or self.cut == 1 else None
-        first = max(self.written_top, snapshot.number if snapshot else 0)
-        entries = tuple(self.log.entries[first - self.log.base:])
-        write = Write(self.ticket, self.group, self.incarnation, self.view, self.log.last, self.committed,
-                      entries, self.cut, snapshot)
-        self.writes.append((self.ticket, self.view, self.log.top))
-        self.written, self.written_top = (self.view, self.group), self.log.top
-        self.cut, self.snapshot_due = 0, False
-        return write
-
-    def on_synced(self, ticket: int) -> None:
-        assert self.synced <= ticket <= self.ticket, (self.synced, ticket, self.ticket)
-        self.synced = ticket
-        for number, view, top in self.writes:
-            if number <= ticket:
-                self.durable_view, self.durable_top = view, top
-        self.writes = [one for one in self.writes if one[0] > ticket]
-        ready = [one for one in self.held if one[0] <= ticket]
-        self.held = [one for one in self.held if one[0] > ticket]
-        for _, to, message in ready:
-            self.send(to, message)
-
-    # The log
-
-    def append(self, entries: tuple[Entry, ...]) -> None:
-        """Take over entries that follow from where the two logs are the same."""
-        for entry in entries:
-            if entry.number <= self.log.base:
-                continue
-            held = self.log.view_at(entry.number)
-            if held == entry.view:
-                continue
-            if held >= 0:
-                self.void(entry.number)
-            self.log.put(entry)
-
-    def void(self, number: int) -> None:
-        assert number > self.committed, f"{number} is committed, and is to be void"
-        self.log.cut(number)
-        self.sure = min(self.sure, number - 1)
-        if number <= self.written_top:
-            self.cut = min(self.cut or number, number)
-            self.written_top = number - 1
-        self.durable_top = min(self.durable_top, number - 1)
-        self.writes = [(ticket, view, min(top, number - 1)) for ticket, view, top in self.writes]
-
-    def commit_to(self, number: int) -> list[tuple[int, bytes]]:
-        """Apply up to there, as far as the log is known to be the leader's. Gives numbers and answers."""
-        done = list[tuple[int, bytes]]()
-        number = min(number, self.log.top if self.leading else self.sure)
-        while self.committed < number:
-            entry = self.log.at(self.committed + 1)
-            if self.ahead:
-                self.state, answer = self.ahead.pop(0)
-            else:
-                self.state, answer = self.run(self.state, entry, False)
-            self.committed += 1
-            if self.committed == 1:
-                self.group = entry.token.removeprefix(GROUP).split(" ")[0]
-            elif entry.token and not self.tokens.get(entry.token):
-                digest = self.fixed.machine.digest(entry.command)
-                self.tokens.keep(entry.token, digest, answer)
-            self.open.pop(entry.token, None)
-            self.out.append(Applied(entry, answer, self.state))
-            done.append((self.committed, answer))
-        return done
-
-    def run(self, state: Any, entry: Entry, known: bool) -> tuple[Any, bytes]:
-        """The first use of a token counts, whatever a log holds. `known`: it is in the log before."""
-        before = self.tokens.get(entry.token) if entry.token else None
-        if before or known:
-            return state, before[1] if before else b""
-        found: tuple[Any, bytes] = self.fixed.machine.apply(state, entry)
-        return found
-
-    def compact(self) -> None:
-        timing = self.fixed.timing
-        done = self.committed - (self.snapshot.number if self.snapshot else 0)
-        heavy = self.log.size > timing.snapshot_bytes and done >= timing.snapshot_entries // 16
-        if done < timing.snapshot_entries and not heavy:
-            return
-        self.snapshot = Snapshot(self.committed, self.log.view_at(self.committed),
-                                 self.fixed.machine.pack(self.state), self.tokens.all())
-        self.snapshot_due = True
-        keep = 0 if heavy else timing.snapshot_entries // 2  # For those that lag a little.
-        self.log.compact(min(self.committed, max(self.log.base, self.committed - keep)))
-
-    def install(self, snapshot: Snapshot, group: str) -> None:
-        """A snapshot from another member, or from the folder."""
-        if snapshot.number <= self.committed:
-            return
-        if self.log.view_at(snapshot.number) != snapshot.view:  # What it held above may be of another past.
-            self.durable_top = min(self.durable_top, self.committed)
-            self.writes = [(ticket, view, min(top, self.committed)) for ticket, view, top in self.writes]
-            if self.written_top > snapshot.number:
-                self.cut = min(self.cut or snapshot.number + 1, snapshot.number + 1)
-                self.written_top = snapshot.number
-        self.log.restart(snapshot.number, snapshot.view)
-        self.snapshot, self.snapshot_due = snapshot, True
-        self.committed, self.group = snapshot.number, group
-        self.state = self.fixed.machine.unpack(snapshot.state)
-        self.tokens = Tokens(self.fixed.timing.tokens, snapshot.answers)
-        self.sure = max(self.sure, snapshot.number)
-        self.out.append(Restored(snapshot.number, self.state))
-
-    def packed(self) -> bytes:
-        assert self.snapshot is not None
-        return msgspec.msgpack.encode(self.snapshot)
-
-    # What is known of members
-
-    def own_row(self) -> Vouch:
-        number = max(0, self.vouched)
-        view = self.durable_view if self.fixed.disk else self.view
-        return Vouch(self.fixed.me, self.incarnation, max(0, view), max(0, self.log.view_at(number)), number,
-                     self.committed, self.status.value)
-
-    def all_rows(self) -> tuple[Vouch, ...]:
-        self.rows[self.fixed.me] = self.own_row()
-        return tuple(self.rows[name] for name in sorted(self.rows))
-
-    def learn_rows(self, rows: tuple[Vouch, ...]) -> None:
-        """Keep what is newest of each; find out about myself."""
-        for row in rows:
-            if row.name == self.fixed.me:
-                self.judge_myself(row)
-                continue
-            self.learn_row(row)
-            self.learn_life(row.name, row.incarnation)
-
-    def learn_row(self, row: Vouch) -> None:
-        """What a member vouches for never shrinks, over its starts too, unless its folder is behind: so the
-        most is kept, until it vouches for as much again."""
-        old = self.rows.get(row.name)
-        if old is None or (row.view >= old.view and (row.last, row.number) >= (old.last, old.number)
-                           and row.incarnation >= old.incarnation):
-            self.rows[row.name] = row
-
-    def judge_myself(self, row: Vouch) -> None:
-        if not self.fixed.votes:
-            return
-        if row.incarnation < self.incarnation:
-            if self.behind and (row.view > self.behind[0] or (row.last, row.number) > self.behind[1:]):
-                self.halt(Reason.OLD_FOLDER, f"vouched for {row.number} of view {row.view}, the folder has "
-                                             f"{self.behind[2]} of view {self.behind[0]}")
-        elif row.incarnation > self.incarnation:
-            self.halt(Reason.SUPERSEDED, f"incarnation {row.incarnation} lives, this is {self.incarnation}")
-        elif row.view > self.view or (row.view == self.view and row.number > self.log.top):
-            self.halt(Reason.CLONED, f"incarnation {row.incarnation} vouched for {row.number} of {row.view}")
-
-    def learn_life(self, name: str, incarnation: int) -> bool:
-        """False where it is older than one known of: what it says counts no more."""
-        known = self.lives.get(name, 0)
-        if name == self.fixed.me:
-            if incarnation > known:
-                self.halt(Reason.SUPERSEDED, f"incarnation {incarnation} lives, this is {known}")
-            return True
-        if incarnation > known:
-            self.lives[name] = incarnation
-            said: tuple[dict[str, Any], ...] = (self.have, self.rounds, self.leavers, self.votes, self.agreed,
-                                                self.told, self.attempts)
-            for held in said:
-                held.pop(name, None)
-        return incarnation >= known
-
-    def learn_lives(self, lives: Lives) -> None:
-        for name, incarnation in lives:
-            self.learn_life(name, incarnation)
-
-    def all_lives(self) -> Lives:
-        return tuple(sorted(self.lives.items()))
-
-
--- a/ambershift/replication/following.py
+++ b/ambershift/replication/following.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from ambershift.replication.applying import append, commit_to, install, packed
 from ambershift.replication.birth import recovered, start_again, strange
 from ambershift.replication.core import Core, Fetching
+from ambershift.replication.knowing import learn_rows
 from ambershift.replication.leading import answer_older, start_leading
 from ambershift.replication.messages import Beat, Chunk, Fetch, Have, Prepare
 from ambershift.replication.views import follow
@@ -36,10 +38,10 @@
         return
     if not from_leader(core, now, sender, message.view, message.group):
         return
-    core.learn_rows(message.rows)
+    learn_rows(core, message.rows)
     if core.status is not Status.NORMAL:
         return
-    core.commit_to(message.committed)
+    commit_to(core, message.committed)
     have(core, message.round)
     if core.sure < message.top:
         fetch(core, now, sender)
@@ -52,9 +54,9 @@
         core.note("group-unfit", member=sender)
         return
     if message.after <= core.sure or core.log.view_at(message.after) == message.after_view:
-        core.append(message.entries)
+        append(core, message.entries)
         core.sure = max(core.sure, message.after + len(message.entries))
-        core.commit_to(message.committed)
+        commit_to(core, message.committed)
         have(core, 0)
     else:
         fetch(core, now, sender)
@@ -105,7 +107,7 @@
                                 offset=0, total=0, data=b""))
         return
     assert core.snapshot is not None
-    data = core.packed()
+    data = packed(core)
     offset = message.offset if message.snapshot == core.snapshot.number else 0
     core.send(sender, Chunk(incarnation=core.incarnation, view=core.view, group=core.group, after=after,
                             entries=(), top=core.log.top, committed=core.committed,
@@ -121,14 +123,14 @@
         if not take_piece(core, message):
             return
     elif message.after <= core.sure and in_order(message.after, message.entries):
-        core.append(message.entries)
+        append(core, message.entries)
         core.sure = max(core.sure, message.after + len(message.entries))
     else:
         return
     assert core.fetching is not None
     core.fetching = core.fetching._replace(at=0)
     if task.then == "follow":
-        core.commit_to(message.committed)
+        commit_to(core, message.committed)
         have(core, 0)
     if core.sure < (task.target or message.top):
         keep_fetching(core, now)
@@ -136,7 +138,7 @@
     core.fetching = None
     if task.then == "recover":
         recovered(core, now, task.view)
-        core.commit_to(message.committed)
+        commit_to(core, message.committed)
         have(core, 0)
     elif task.then == "lead":
         start_leading(core, now)
@@ -154,5 +156,5 @@
     if len(data) < message.total:
         return True
     core.fetching = core.fetching._replace(snapshot=0, data=b"")
-    core.install(msgspec.msgpack.decode(data, type=Snapshot), message.group)
+    install(core, msgspec.msgpack.decode(data, type=Snapshot), message.group)
     return True
--- a/ambershift/replication/leading.py
+++ b/ambershift/replication/leading.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from ambershift.replication.core import GROUP, Core
+from ambershift.replication.applying import commit_to, run
+from ambershift.replication.core import GROUP, Core, Reader
+from ambershift.replication.knowing import all_rows, learn_row
 from ambershift.replication.messages import Beat, Have, Newer, Prepare, Vouch
 from ambershift.replication.wants import reply, reply_read
 from ambershift.replication.words import Entry, Reason, Status
@@ -38,7 +40,7 @@
 
 
 def extend(core: Core, entry: Entry) -> None:
-    core.ahead.append(core.run(newest(core), entry, entry.token in core.open))
+    core.ahead.append(run(core, newest(core), entry, entry.token in core.open))
     if entry.token:
         core.open.setdefault(entry.token, entry.number)
 
@@ -75,7 +77,7 @@
     else:
         refused = None if number else core.fixed.machine.judge(newest(core), now + core.wall, command)
         if refused is not None:
-            reply(core, origin, incarnation, ticket, attempt, "", refused)
+            wait_for_round(core, Reader(origin, incarnation, ticket, attempt, refused, core.log.top, 0))
             return
         number = number or propose(core, now, token, command)
         key = origin, incarnation, ticket
@@ -86,15 +88,19 @@
 def ask_to_read(core: Core, origin: str, incarnation: int, ticket: int) -> None:
     if not core.leading or core.doubt:
         return
-    key = origin, incarnation, ticket
-    if all(one[:3] != key for one in core.readers) and len(core.readers) < core.fixed.timing.ahead:
-        core.readers.append((*key, 0, 0))
+    wait_for_round(core, Reader(origin, incarnation, ticket, 0, b"", 0, 0))
+
+
+def wait_for_round(core: Core, reader: Reader) -> None:
+    """A refusal too is true of the state of a leader only: it waits as a read does."""
+    if len(core.readers) < core.fixed.timing.ahead and all(one[:3] != reader[:3] for one in core.readers):
+        core.readers.append(reader)
 
 
 def beat(core: Core, now: int) -> None:
     core.beat_at = now + core.fixed.timing.beat
     message = Beat(incarnation=core.incarnation, view=core.view, group=core.group, round=core.round,
-                   top=core.sent_top, committed=core.committed, rows=core.all_rows(),
+                   top=core.sent_top, committed=core.committed, rows=all_rows(core),
                    voters=core.fixed.voters)
     for name in core.fixed.members:
         if name != core.fixed.me:
@@ -109,7 +115,7 @@
         return
     if message.number >= core.have.get(sender, (0, 0))[1]:
         core.have[sender] = message.incarnation, message.number
-        core.learn_row(Vouch(sender, message.incarnation, message.view,
+        learn_row(core, Vouch(sender, message.incarnation, message.view,
                              max(0, core.log.view_at(message.number)), message.number, message.committed,
                              message.status))
     core.rounds[sender] = max(core.rounds.get(sender, 0), message.round)
@@ -149,7 +155,7 @@
     number = held[core.fixed.majority - 1]
     if number <= core.committed or core.log.view_at(number) != core.view:
         return
-    done = core.commit_to(number)
+    done = commit_to(core, number)
     core.beat_at = min(core.beat_at, now + core.fixed.timing.tell)
     for one, answer in done:
         for origin, incarnation, ticket, attempt in core.waiters.pop(one, ()):
@@ -163,14 +169,20 @@
         said = sorted((core.round if name == core.fixed.me else core.rounds.get(name, 0)
                        for name in core.fixed.voters), reverse=True)
         heard = said[core.fixed.majority - 1]
-        done = [one for one in core.readers if 0 < one[3] <= heard]
-        core.readers = [one for one in core.readers if not 0 < one[3] <= heard]
-        for origin, incarnation, ticket, _, index in done:
-            reply_read(core, origin, incarnation, ticket, index)
-        if not core.readers or any(one[3] for one in core.readers):
+        waiting = list[Reader]()
+        for one in core.readers:
+            if not 0 < one.round <= heard or one.number > core.committed:
+                waiting.append(one)
+            elif one.attempt:
+                reply(core, one.member, one.incarnation, one.ticket, one.attempt, "", one.answer)
+            else:
+                reply_read(core, one.member, one.incarnation, one.ticket, one.number)
+        core.readers = waiting
+        if all(one.round for one in waiting) or any(one.round > heard for one in waiting):
             return
         core.round += 1
-        core.readers = [(*one[:3], core.round, core.committed) for one in core.readers]
+        core.readers = [one if one.round else one._replace(
+            round=core.round, number=one.number if one.attempt else core.committed) for one in waiting]
         beat(core, now)
 
 
--- a/ambershift/replication/replica.py
+++ b/ambershift/replication/replica.py
@@ -6,8 +6,11 @@
 from typing import Any
 
 from ambershift.replication import birth, following, leading, messages, requests, views, wants
+from ambershift.replication.applying import commit_to, compact, install
 from ambershift.replication.core import NEVER, Core, Fixed
 from ambershift.replication.frozen import Frozen, freeze, thaw
+from ambershift.replication.keeping import finish, on_synced
+from ambershift.replication.knowing import all_rows, learn_life
 from ambershift.replication.log import Log
 from ambershift.replication.messages import Message
 from ambershift.replication.timing import PLAIN, Timing
@@ -63,7 +66,7 @@
         snapshot = saved.snapshot
         core.log = Log(snapshot.number if snapshot else 0, snapshot.view if snapshot else 0)
         if snapshot is not None:
-            core.install(snapshot, saved.group)
+            install(core, snapshot, saved.group)
             core.snapshot_due = False
             core.out.clear()  # Told with the first call.
         for entry in saved.entries:
@@ -83,7 +86,7 @@
         core = self.core
         if core.status is Status.HALTED or sender not in core.fixed.members or sender == core.fixed.me:
             return []
-        if core.learn_life(sender, message.incarnation):
+        if learn_life(core, sender, message.incarnation):
             core.heard[sender] = now
             HANDLERS[type(message)](core, now, sender, message)
         return self.end(now)
@@ -94,6 +97,9 @@
         task = core.fetching
         if task is not None and task.source == member and task.at:
             core.fetching = task._replace(at=min(task.at, now - core.fixed.timing.fetch // 2))
+        if member == core.leader and core.status is Status.NORMAL and not core.leading:
+            # It may be gone with the link: half of the silence counts as over.
+            core.leader_heard = min(core.leader_heard, now - core.fixed.timing.agree)
         if member == core.leader:
             for ticket, want in core.wants.items():
                 core.keep_want(ticket, want._replace(
@@ -105,7 +111,7 @@
         core = self.core
         if core.status is Status.HALTED:
             return []
-        core.on_synced(ticket)
+        on_synced(core, ticket)
         views.count_leavers(core, now)
         following.have(core, 0)
         return self.end(now)
@@ -148,12 +154,13 @@
                 requests.push_all(core, now)
             core.was = where
             leading.work(core, now)
-            core.compact()
+            compact(core)
+            assert core.log.base <= core.committed <= core.log.top and core.sure <= core.log.top
             wants.serve_reads(core)
         else:
             requests.halt(core)
         wants.expire(core, now)
-        return core.finish()
+        return finish(core)
 
     @staticmethod
     def tell_start(core: Core) -> None:
@@ -162,7 +169,7 @@
         if core.snapshot is not None and core.committed == core.snapshot.number:
             core.out.insert(0, Restored(core.committed, core.state))
         if core.status is not Status.BLANK:
-            core.commit_to(core.sure)
+            commit_to(core, core.sure)
 
     # What is seen from outside
 
@@ -214,7 +221,7 @@
 
     def member_rows(self, now: int) -> tuple[MemberRow, ...]:
         core = self.core
-        rows = {row.name: row for row in core.all_rows()}
+        rows = {row.name: row for row in all_rows(core)}
         found = []
         for name in core.fixed.members:
             row, heard = rows.get(name), 0 if name == core.fixed.me else now - core.heard.get(name, now + 1)
--- a/ambershift/replication/requests.py
+++ b/ambershift/replication/requests.py
@@ -39,7 +39,7 @@
 def push(core: Core, now: int, ticket: int) -> None:
     """On to the leader, if there is one."""
     want = core.wants[ticket]
-    if core.status is not Status.NORMAL or core.doubt or want.place >= 0:
+    if core.status is not Status.NORMAL or core.doubt or want.place >= 0 or now >= want.until:
         core.keep_want(ticket, want._replace(retry_at=now + core.fixed.timing.retry))
         return
     if want.read:
--- a/ambershift/replication/views.py
+++ b/ambershift/replication/views.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ambershift.replication.core import Core, Fetching
+from ambershift.replication.knowing import all_lives, all_rows, learn_lives, learn_rows
 from ambershift.replication.leading import start_leading
 from ambershift.replication.messages import Leave, Newer, Suspect, Suspected, Vote
 from ambershift.replication.words import Status
@@ -36,7 +37,7 @@
     core.round += 1
     core.suspecting = True
     core.agreed = {core.fixed.me: core.round}
-    rows = core.all_rows()
+    rows = all_rows(core)
     for name in core.fixed.voters:
         if name != core.fixed.me:
             core.send(name, Suspect(incarnation=core.incarnation, view=core.view, round=core.round,
@@ -54,16 +55,16 @@
     if core.status not in AT_WORK or not core.fixed.votes:
         return
     agree = core.view == message.view and hears_no_leader(core, now)
-    core.learn_rows(message.rows)
+    learn_rows(core, message.rows)
     if core.status not in AT_WORK:
         return
     join(core, now, message.view)
     core.send(sender, Suspected(incarnation=core.incarnation, view=core.view, asked=message.view,
-                                round=message.round, agree=agree, rows=core.all_rows()))
+                                round=message.round, agree=agree, rows=all_rows(core)))
 
 
 def on_suspected(core: Core, now: int, sender: str, message: Suspected) -> None:
-    core.learn_rows(message.rows)
+    learn_rows(core, message.rows)
     if core.status not in AT_WORK or not core.suspecting:
         return
     join(core, now, message.view)
@@ -116,8 +117,8 @@
 
 
 def tell_leaving(core: Core) -> None:
-    message = Leave(incarnation=core.incarnation, view=core.view, lives=core.all_lives(),
-                    rows=core.all_rows())
+    message = Leave(incarnation=core.incarnation, view=core.view, lives=all_lives(core),
+                    rows=all_rows(core))
     for name in core.fixed.voters:
         if name != core.fixed.me:
             core.vouch(name, message)
@@ -128,8 +129,8 @@
 def on_leave(core: Core, now: int, sender: str, message: Leave) -> None:
     if core.status not in AT_WORK or not core.fixed.votes:
         return
-    core.learn_lives(message.lives)
-    core.learn_rows(message.rows)
+    learn_lives(core, message.lives)
+    learn_rows(core, message.rows)
     if core.status not in AT_WORK:
         return
     join(core, now, message.view)
@@ -163,15 +164,15 @@
 
 def vote(core: Core) -> None:
     core.vouch(core.leader, Vote(incarnation=core.incarnation, view=core.view, last=core.log.last,
-                                 number=core.log.top, committed=core.committed, lives=core.all_lives(),
-                                 rows=core.all_rows()))
+                                 number=core.log.top, committed=core.committed, lives=all_lives(core),
+                                 rows=all_rows(core)))
 
 
 def on_vote(core: Core, now: int, sender: str, message: Vote) -> None:
     if core.status not in AT_WORK or not core.fixed.votes or message.view < core.view:
         return
-    core.learn_lives(message.lives)
-    core.learn_rows(message.rows)
+    learn_lives(core, message.lives)
+    learn_rows(core, message.rows)
     if core.status not in AT_WORK:
         return
     join(core, now, message.view)
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -161,6 +161,9 @@
         if self.disk and host.saved is None and host.replica.status is not Status.BLANK:
             host.lost_mark = host.lost_mark or (core.log.last, core.log.top)
         host.replica, host.pending, host.life = None, [], host.life + 1
+        for other in self.hosts.values():
+            if self.random.random() < 0.5:
+                self.feed(other, other.life, lambda replica: replica.gone(self.now, name))
         for ticket, waiting in list(self.waiting.items()):
             if waiting.host == name:
                 del self.waiting[ticket]
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -10,7 +10,7 @@
 from replicas import SECOND, WALL, Counting, Sim
 from schedules import SMALL, history
 
-from ambershift.replication import birth, messages
+from ambershift.replication import birth, knowing, messages
 from ambershift.replication.messages import Chunk, Have, Told, UnreadableError, decode, encode
 from ambershift.replication.replica import Replica
 from ambershift.replication.timing import MS, PLAIN
@@ -177,7 +177,12 @@
     sim.submit(leader(sim), "", b"bad")
     sim.run(SECOND)
     assert sim.answers == {"done": 3, "token-reused": 1} and list(sim.tokens).count("a") == 1
-    sim.submit(leader(sim), "big", b"x" * (PLAIN.command_bytes + 1))
+    lonely = leader(sim)
+    alone(sim, lonely)
+    ticket = sim.submit(lonely, "b", b"bad")
+    sim.run(2500 * MS)  # It is no leader any more, and refuses nothing as one.
+    assert ticket not in sim.waiting and sim.answers["done"] == 3
+    sim.submit(lonely, "big", b"x" * (PLAIN.command_bytes + 1))
     assert sim.answers["too-large"] == 1
 
 
@@ -216,7 +221,7 @@
         birth.be_born(other.core, sim.now, ())
         found = list[Any]()
         for one in (other, held):
-            row = one.core.own_row()
+            row = knowing.own_row(one.core)
             found += (held if one is other else other).hear(sim.now, leader(sim), messages.Beat(
                 incarnation=sim.hosts[leader(sim)].replica.core.incarnation, view=0, group="",  # type: ignore[union-attr]
                 round=0, top=0, committed=0, rows=(row,), voters=tuple(sim.voters)))
