Replica: bound what waits for a slow disk, and measure it

A disk that stops syncing let held messages and writes grow. At most four writes are under way, what comes meanwhile makes the next; of what is held back for one member the newest of a kind stays. A Leave or Vote sent before its sync was caught by no history; a test holds it now.

--- a/ambershift/replication/applying.py
+++ b/ambershift/replication/applying.py
@@ -98,6 +98,12 @@
     core.out.append(Restored(snapshot.number, core.state))
 
 
-def packed(core: Core) -> bytes:
+def piece(core: Core, offset: int) -> tuple[int, bytes]:
+    """Bytes of the packed snapshot in all, and those from there on that go in one message."""
     assert core.snapshot is not None
-    return msgspec.msgpack.encode(core.snapshot)
+    if core.serving[0] != core.snapshot.number:
+        core.serving = core.snapshot.number, msgspec.msgpack.encode(core.snapshot)
+    data, end = core.serving[1], offset + core.fixed.timing.chunk_bytes
+    if end >= len(data):
+        core.serving = 0, b""
+    return len(data), data[offset:end]
--- a/ambershift/replication/core.py
+++ b/ambershift/replication/core.py
@@ -165,6 +165,7 @@
         # Gone with the call that made it.
         self.out: list[Effect] = []
         self.vouching: list[tuple[str, Message]] = []
+        self.serving: tuple[int, bytes] = (0, b"")  # The snapshot of this number, packed to be handed out.
 
     def keep_want(self, ticket: int, want: Want) -> None:
         self.wants[ticket] = want
--- a/ambershift/replication/following.py
+++ b/ambershift/replication/following.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ambershift.replication.applying import append, commit_to, install, packed
+from ambershift.replication.applying import append, commit_to, install, piece
 from ambershift.replication.birth import recovered, start_again, strange
 from ambershift.replication.core import Core, Fetching
 from ambershift.replication.knowing import learn_rows
@@ -57,7 +57,8 @@
         append(core, message.entries)
         core.sure = max(core.sure, message.after + len(message.entries))
         commit_to(core, message.committed)
-        have(core, 0)
+        if not core.fixed.disk:  # Else once it is synced.
+            have(core, 0)
     else:
         fetch(core, now, sender)
 
@@ -107,12 +108,11 @@
                                 offset=0, total=0, data=b""))
         return
     assert core.snapshot is not None
-    data = packed(core)
     offset = message.offset if message.snapshot == core.snapshot.number else 0
+    total, data = piece(core, offset)
     core.send(sender, Chunk(incarnation=core.incarnation, view=core.view, group=core.group, after=after,
                             entries=(), top=core.log.top, committed=core.committed,
-                            snapshot=core.snapshot.number, offset=offset, total=len(data),
-                            data=data[offset:offset + timing.chunk_bytes]))
+                            snapshot=core.snapshot.number, offset=offset, total=total, data=data))
 
 
 def on_chunk(core: Core, now: int, sender: str, message: Chunk) -> None:
@@ -149,12 +149,17 @@
     task = core.fetching
     assert task is not None
     data = task.data if message.snapshot == task.snapshot else b""
-    if message.offset != len(data):
+    if message.offset != len(data) or message.total > core.fixed.timing.state_bytes:
         return False
     data += message.data
     core.fetching = task._replace(snapshot=message.snapshot, data=data)
     if len(data) < message.total:
         return True
     core.fetching = core.fetching._replace(snapshot=0, data=b"")
-    install(core, msgspec.msgpack.decode(data, type=Snapshot), message.group)
+    try:
+        snapshot = msgspec.msgpack.decode(data, type=Snapshot)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        core.note("group-unfit", member=task.source)
+        return False
+    install(core, snapshot, message.group)
     return True
--- a/ambershift/replication/frozen.py
+++ b/ambershift/replication/frozen.py
@@ -10,7 +10,7 @@
 from ambershift.replication.words import Status
 
 Frozen = tuple[Any, ...]  # In the order of the attributes of Core.
-LEFT_OUT = ("fixed", "out", "vouching", "ahead", "open")  # Empty, or told by the rest.
+LEFT_OUT = ("fixed", "out", "vouching", "ahead", "open", "serving")  # Empty, or told by the rest.
 
 
 def names(core: Core) -> list[str]:
--- a/ambershift/replication/keeping.py
+++ b/ambershift/replication/keeping.py
@@ -8,11 +8,15 @@
 
 def finish(core: Core) -> list[Effect]:
     """The effects of one call: what the disk needs first, then the rest; what vouches waits for it."""
-    if core.fixed.disk and core.status not in (Status.BLANK, Status.HALTED) and dirty(core):
+    needs = core.fixed.disk and core.status not in (Status.BLANK, Status.HALTED) and dirty(core)
+    if needs and len(core.writes) < core.fixed.timing.writes:
         core.out.insert(0, write(core))
+        needs = False
+    ticket = core.ticket + 1 if needs else core.ticket  # What the disk has no room for goes with the next.
     for to, message in core.vouching:
-        if core.fixed.disk and core.ticket > core.synced:
-            core.held.append((core.ticket, to, message))
+        if core.fixed.disk and ticket > core.synced:
+            core.held = [one for one in core.held if one[1] != to or type(one[2]) is not type(message)]
+            core.held.append((ticket, to, message))
         else:
             core.send(to, message)
     core.vouching = []
--- a/ambershift/replication/timing.py
+++ b/ambershift/replication/timing.py
@@ -28,6 +28,8 @@
     snapshot_entries: int = 4096  # Applied since the last snapshot, before the next.
     snapshot_bytes: int = 8 << 20
     tokens: int = 4096
+    writes: int = 4  # Under way to the disk; what comes meanwhile makes the next.
+    state_bytes: int = 256 << 20  # A snapshot that claims more is not taken.
 
     @property
     def agree(self) -> int:
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -75,6 +75,7 @@
         self.olds: list[Saved] = []
         self.pending: list[Write] = []
         self.lost_mark: tuple[int, int] | None = None  # What it had when it lost its memory.
+        self.stuck = False  # Its disk holds up each sync.
         self.old = False  # And it was given a folder that is behind.
         self.halts: list[Reason] = []
         self.paused = False
@@ -93,16 +94,17 @@
 
 
 class Sim:
-    """`faults` of the net are parts of one: lose, repeat; delays in ns."""
+    """Parts of one: messages lost, repeated and very late, and syncs that take long."""
 
     def __init__(self, seed: int, voters: int, copies: int = 0, disk: bool = False, timing: Timing = PLAIN,
-                 lose: float = 0.0, repeat: float = 0.0, late: float = 0.0) -> None:
+                 lose: float = 0.0, repeat: float = 0.0, late: float = 0.0,
+                 slow: float = 0.0) -> None:
         self.random = Random(seed)
         self.voters = [f"n{index + 1}" for index in range(voters)]
         self.copies = [f"c{index + 1}" for index in range(copies)]
         self.hosts = {name: Host(name) for name in self.voters + self.copies}
         self.disk, self.timing = disk, timing
-        self.lose, self.repeat, self.late = lose, repeat, late
+        self.lose, self.repeat, self.late, self.slow = lose, repeat, late, slow
         self.now, self.order = 0, 0
         self.events: list[tuple[int, int, Any]] = []
         self.cuts = set[tuple[str, str]]()
@@ -148,7 +150,7 @@
         if self.hosts[name].replica is None:
             self.start(name)
 
-    def crash(self, name: str, tear: bool = True) -> None:
+    def crash(self, name: str, tear: bool = True, tell: bool | None = None) -> None:
         """The process ends; of what was under way to the disk some is there, or none."""
         host = self.hosts[name]
         if host.replica is None:
@@ -162,7 +164,7 @@
             host.lost_mark = host.lost_mark or (core.log.last, core.log.top)
         host.replica, host.pending, host.life = None, [], host.life + 1
         for other in self.hosts.values():
-            if self.random.random() < 0.5:
+            if self.random.random() < 0.5 if tell is None else tell:
                 self.feed(other, other.life, lambda replica: replica.gone(self.now, name))
         for ticket, waiting in list(self.waiting.items()):
             if waiting.host == name:
@@ -211,7 +213,8 @@
                     self.post(host.name, to, encode(message))
                 case Write():
                     host.pending.append(effect)
-                    self.at(self.random.randint(1, 8) * MS, self.syncing(host, host.life, effect.ticket))
+                    span = 300 if self.random.random() < self.slow else 8
+                    self.at(self.random.randint(1, span) * MS, self.syncing(host, host.life, effect.ticket))
                 case Applied(entry, answer, _):
                     self.check_entry(host, entry, answer)
                 case Restored(number, _):
@@ -238,6 +241,9 @@
         def then() -> None:
             if host.life != life or not host.pending or host.pending[0].ticket > ticket:
                 return
+            if host.stuck:
+                self.at(50 * MS, self.syncing(host, life, ticket))
+                return
             while host.pending and host.pending[0].ticket <= ticket:
                 host.saved = written(host.saved, host.pending.pop(0))
             if self.random.random() < 0.05 and host.saved is not None:
@@ -349,6 +355,7 @@
         self.cuts.clear()
         self.lose = self.repeat = self.late = 0.0
         for name, host in self.hosts.items():
+            host.stuck = False
             if host.paused:
                 self.resume(name)
             if host.replica is None:
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -16,7 +16,8 @@
     voters = random.choice((1, 3, 3, 3, 5, 5, 7))
     sim = Sim(seed, voters, random.choice((0, 0, 1, 2)), disk=random.random() < 0.5,
               timing=random.choice((PLAIN, SMALL)), lose=random.choice((0, 0, 0.02, 0.2)),
-              repeat=random.choice((0, 0.1)), late=random.choice((0, 0, 0.05)))
+              repeat=random.choice((0, 0.1)), late=random.choice((0, 0, 0.05)),
+              slow=random.choice((0, 0.3)))
     for name in sim.hosts:
         sim.at(random.randint(0, 300) * MS, lambda name=name: sim.start_if_down(name))  # type: ignore[misc]
     sim.run(random.randint(0, 1500) * MS)
@@ -36,7 +37,7 @@
     """An old folder is found out by those that know what it has vouched for: they are up, and heard."""
     cores = [host.replica.core for name, host in sim.hosts.items() if host.replica and name in sim.voters]
     return (len(cores) == len(sim.voters) and not sim.cuts
-            and not any(host.paused for host in sim.hosts.values())
+            and not any(host.paused or host.stuck for host in sim.hosts.values())
             and len({(core.status, core.view, core.committed) for core in cores}) == 1
             and not any(sim.is_lost(name) for name in sim.voters) and sim.lose < 0.1)
 
@@ -47,7 +48,7 @@
     if any(one.old and sim.is_lost(one.name) for one in sim.hosts.values()):
         sim.submit(name, f"{token}.0", b"x0")
         return
-    match random.randint(0, 13):
+    match random.randint(0, 14):
         case 0 | 1 | 2 | 3:
             for index in range(random.choice((1, 1, 10))):
                 sim.submit(random.choice(list(sim.hosts)), f"{token}.{index}", b"x%d" % index)
@@ -75,6 +76,8 @@
                 sim.resume(name)
             elif host.replica is not None:
                 sim.pause(name)
+        case 14:
+            host.stuck = sim.disk and random.random() < 0.5
         case 13:
             if sim.disk and may_lose(sim, name):
                 old = sound(sim) and random.random() < 0.5
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -14,7 +14,7 @@
 from ambershift.replication.messages import Chunk, Have, Told, UnreadableError, decode, encode
 from ambershift.replication.replica import Replica
 from ambershift.replication.timing import MS, PLAIN
-from ambershift.replication.words import Applied, Reason, Restored, Saved, Send, Status
+from ambershift.replication.words import Applied, Entry, Reason, Restored, Saved, Send, Status, Write
 
 
 def group(voters: int = 3, copies: int = 0, seed: int = 1, disk: bool = False, **more: Any) -> Sim:
@@ -322,3 +322,20 @@
     again = Replica("n1", ["n1"], [], Counting(), 1, 6, saved, True, noop=b"noop")
     assert again.status is Status.CHANGING
     assert not [effect for effect in again.due(0, WALL) if isinstance(effect, Send | Restored)]
+
+
+def test_a_member_leaves_and_votes_only_once_that_is_on_its_disk() -> None:
+    """Else one that crashes between would come back in the old view, and help it commit."""
+    one = Replica("n3", ["n1", "n2", "n3"], [], Counting(), 1, 5, Saved("g", 4, 0, 0, 1, None, (
+        Entry(0, 1, 0, "group:g", b"noop"),)), True, noop=b"noop")
+    one.due(0, WALL)
+    one.synced(0, 1)
+    asked = one.due(SECOND, WALL)
+    number = next(effect.message.round for effect in asked if isinstance(effect, Send))
+    found = one.hear(SECOND, "n2", messages.Suspected(incarnation=1, view=0, asked=0, round=number, agree=True,
+                                                      rows=()))
+    found += one.hear(SECOND, "n2", messages.Leave(incarnation=1, view=1, lives=(), rows=()))
+    assert one.view == 1 and [effect.view for effect in found if isinstance(effect, Write)] == [1]
+    assert not [effect for effect in found if isinstance(effect, Send)]
+    sent = [effect.message for effect in one.synced(SECOND, 2) if isinstance(effect, Send)]
+    assert {type(message) for message in sent} == {messages.Leave, messages.Vote}
