--- a/ambershift/promises/words.py
+++ b/ambershift/promises/words.py
@@ -65,6 +65,14 @@
     answer: str
 
 
+class Answered(msgspec.Struct, frozen=True, tag="answered", array_like=True):
+    """A refusal by the leader's judgement, written so that its token gets the same answer at every member;
+    `text` is that of the refused `Wishes`, and its digest the same."""
+
+    text: str
+    answer: str
+
+
 class Nothing(msgspec.Struct, frozen=True, tag="nothing", array_like=True):
     """What a new leader writes first, so that what lies before it gets committed."""
 
--- a/ambershift/replication/replica.py
+++ b/ambershift/replication/replica.py
@@ -6,12 +6,15 @@
 from typing import Any
 
 from ambershift.replication import birth, following, leading, messages, requests, views, wants
-from ambershift.replication.core import Core, Fixed
+from ambershift.replication.applying import commit_to, compact, install
+from ambershift.replication.core import NEVER, Core, Fixed
 from ambershift.replication.frozen import Frozen, freeze, thaw
+from ambershift.replication.keeping import finish, on_synced
+from ambershift.replication.knowing import all_rows, learn_life
 from ambershift.replication.log import Log
 from ambershift.replication.messages import Message
 from ambershift.replication.timing import PLAIN, Timing
-from ambershift.replication.words import Effect, Machine, MemberRow, Saved, Status
+from ambershift.replication.words import Effect, Machine, MemberRow, Restored, Saved, Status
 
 HANDLERS: dict[type, Callable[[Core, int, str, Any], None]] = {
     messages.Ask: birth.on_ask,
@@ -32,7 +35,6 @@
     messages.ReadAsk: requests.on_read_ask,
     messages.ReadAt: requests.on_read_at,
 }
-NEVER = 1 << 62
 
 
 class Replica:
@@ -64,18 +66,18 @@
         snapshot = saved.snapshot
         core.log = Log(snapshot.number if snapshot else 0, snapshot.view if snapshot else 0)
         if snapshot is not None:
-            core.install(snapshot, saved.group)
+            install(core, snapshot, saved.group)
             core.snapshot_due = False
+            core.out.clear()  # Told with the first call.
         for entry in saved.entries:
             core.log.put(entry)
         core.view, core.group = saved.view, saved.group
         core.status, core.voted = Status.CHANGING, True
-        core.change_at = now + core.fixed.timing.silence
+        core.change_at = core.again_at = now + core.fixed.timing.silence
         core.behind = saved.view, core.log.last, core.log.top
         core.cut, core.written_top = 0, core.log.top
         core.durable_top, core.durable_view = core.log.top, saved.view
         core.sure = max(core.committed, min(saved.committed, core.log.top))
-        core.commit_to(core.sure)
 
     # Events
 
@@ -84,7 +86,7 @@
         core = self.core
         if core.status is Status.HALTED or sender not in core.fixed.members or sender == core.fixed.me:
             return []
-        if core.learn_life(sender, message.incarnation):
+        if learn_life(core, sender, message.incarnation):
             core.heard[sender] = now
             HANDLERS[type(message)](core, now, sender, message)
         return self.end(now)
@@ -95,9 +97,13 @@
         task = core.fetching
         if task is not None and task.source == member and task.at:
             core.fetching = task._replace(at=min(task.at, now - core.fixed.timing.fetch // 2))
+        if member == core.leader and core.status is Status.NORMAL and not core.leading:
+            # It may be gone with the link: half of the silence counts as over.
+            core.leader_heard = min(core.leader_heard, now - core.fixed.timing.agree)
         if member == core.leader:
             for ticket, want in core.wants.items():
-                core.wants[ticket] = want._replace(retry_at=min(want.retry_at, now + core.fixed.timing.beat))
+                core.keep_want(ticket, want._replace(
+                    retry_at=min(want.retry_at, now + core.fixed.timing.beat)))
         return self.end(now)
 
     def synced(self, now: int, ticket: int) -> list[Effect]:
@@ -105,7 +111,7 @@
         core = self.core
         if core.status is Status.HALTED:
             return []
-        core.on_synced(ticket)
+        on_synced(core, ticket)
         views.count_leavers(core, now)
         following.have(core, 0)
         return self.end(now)
@@ -142,17 +148,28 @@
         core = self.core
         where = core.view, core.status
         if core.status is not Status.HALTED:
-            core.next_start = NEVER
+            if core.next_start != NEVER:
+                self.tell_start(core)
             if where != core.was and core.status is Status.NORMAL:
                 requests.push_all(core, now)
             core.was = where
             leading.work(core, now)
-            core.compact()
+            compact(core)
+            assert core.log.base <= core.committed <= core.log.top and core.sure <= core.log.top
             wants.serve_reads(core)
         else:
             requests.halt(core)
         wants.expire(core, now)
-        return core.finish()
+        return finish(core)
+
+    @staticmethod
+    def tell_start(core: Core) -> None:
+        """With the first call: what the folder vouches for is applied."""
+        core.next_start = NEVER
+        if core.snapshot is not None and core.committed == core.snapshot.number:
+            core.out.insert(0, Restored(core.committed, core.state))
+        if core.status is not Status.BLANK:
+            commit_to(core, core.sure)
 
     # What is seen from outside
 
@@ -161,10 +178,8 @@
         """When `due` is to be called next."""
         core = self.core
         if core.status is Status.HALTED:
-            return min([NEVER, *(want.until for want in core.wants.values())])
-        times = [core.next_start]
-        times += [want.until if want.place >= 0 else min(want.until, want.retry_at)
-                  for want in core.wants.values()]
+            return NEVER
+        times = [core.next_start, core.want_at]
         if core.fetching is not None:
             times.append(core.fetching.at + core.fixed.timing.fetch if core.fetching.at else 0)
         if core.status is Status.BLANK and core.fixed.votes and core.fetching is None:
@@ -206,7 +221,7 @@
 
     def member_rows(self, now: int) -> tuple[MemberRow, ...]:
         core = self.core
-        rows = {row.name: row for row in core.all_rows()}
+        rows = {row.name: row for row in all_rows(core)}
         found = []
         for name in core.fixed.members:
             row, heard = rows.get(name), 0 if name == core.fixed.me else now - core.heard.get(name, now + 1)
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -20,7 +20,6 @@
     Restored,
     Saved,
     Send,
-    Snapshot,
     Status,
     Write,
 )
@@ -42,6 +41,9 @@
         count, total = state
         return (count + 1, hash((total, entry.command)) & 0xFFFFFFFF), b"%d" % entry.number
 
+    def digest(self, command: bytes) -> bytes:
+        return command
+
     def pack(self, state: tuple[int, int]) -> bytes:
         return b"%d %d" % state
 
@@ -58,7 +60,8 @@
     entries = (*(entry for entry in kept if entry.number > base), *write.entries)
     assert [entry.number for entry in entries] == list(range(base + 1, base + 1 + len(entries)))
     assert (entries[-1].view if entries else snapshot.view if snapshot else 0) == write.last_normal
-    return Saved(write.group, write.incarnation, write.view, write.last_normal, write.committed, snapshot, entries)
+    return Saved(write.group, write.incarnation, write.view, write.last_normal, write.committed, snapshot,
+                 entries)
 
 
 class Host:
@@ -72,6 +75,7 @@
         self.olds: list[Saved] = []
         self.pending: list[Write] = []
         self.lost_mark: tuple[int, int] | None = None  # What it had when it lost its memory.
+        self.stuck = False  # Its disk holds up each sync.
         self.old = False  # And it was given a folder that is behind.
         self.halts: list[Reason] = []
         self.paused = False
@@ -90,16 +94,17 @@
 
 
 class Sim:
-    """`faults` of the net are parts of one: lose, repeat; delays in ns."""
+    """Parts of one: messages lost, repeated and very late, and syncs that take long."""
 
     def __init__(self, seed: int, voters: int, copies: int = 0, disk: bool = False, timing: Timing = PLAIN,
-                 lose: float = 0.0, repeat: float = 0.0, late: float = 0.0) -> None:
+                 lose: float = 0.0, repeat: float = 0.0, late: float = 0.0,
+                 slow: float = 0.0) -> None:
         self.random = Random(seed)
         self.voters = [f"n{index + 1}" for index in range(voters)]
         self.copies = [f"c{index + 1}" for index in range(copies)]
         self.hosts = {name: Host(name) for name in self.voters + self.copies}
         self.disk, self.timing = disk, timing
-        self.lose, self.repeat, self.late = lose, repeat, late
+        self.lose, self.repeat, self.late, self.slow = lose, repeat, late, slow
         self.now, self.order = 0, 0
         self.events: list[tuple[int, int, Any]] = []
         self.cuts = set[tuple[str, str]]()
@@ -135,18 +140,17 @@
         self.incarnation += 1
         host.life += 1
         host.pending, host.inbox, host.paused = [], [], False
-        host.replica = Replica(name, self.voters, self.copies, Counting(), self.random.getrandbits(63), self.incarnation,
-                               host.saved if self.disk else None, self.disk, self.timing, self.now, noop=b"noop")
+        host.replica = Replica(name, self.voters, self.copies, Counting(), self.random.getrandbits(63),
+                               self.incarnation, host.saved if self.disk else None, self.disk, self.timing,
+                               self.now, noop=b"noop")
         host.fed = 0
-        if host.replica.committed:
-            self.check_applied(host)
         self.wake(host)
 
     def start_if_down(self, name: str) -> None:
         if self.hosts[name].replica is None:
             self.start(name)
 
-    def crash(self, name: str, tear: bool = True) -> None:
+    def crash(self, name: str, tear: bool = True, tell: bool | None = None) -> None:
         """The process ends; of what was under way to the disk some is there, or none."""
         host = self.hosts[name]
         if host.replica is None:
@@ -159,6 +163,9 @@
         if self.disk and host.saved is None and host.replica.status is not Status.BLANK:
             host.lost_mark = host.lost_mark or (core.log.last, core.log.top)
         host.replica, host.pending, host.life = None, [], host.life + 1
+        for other in self.hosts.values():
+            if self.random.random() < 0.5 if tell is None else tell:
+                self.feed(other, other.life, lambda replica: replica.gone(self.now, name))
         for ticket, waiting in list(self.waiting.items()):
             if waiting.host == name:
                 del self.waiting[ticket]
@@ -173,10 +180,11 @@
 
     def old_disk(self, name: str) -> None:
         host = self.hosts[name]
-        if host.olds and host.saved is not None and host.olds[0].incarnation <= host.saved.incarnation:
+        if host.olds and host.saved is not None:
             held, host.saved = host.saved, self.random.choice(host.olds)
             if host.saved != held:
-                top = held.entries[-1].number if held.entries else held.snapshot.number if held.snapshot else 0
+                base = held.snapshot.number if held.snapshot else 0
+                top = held.entries[-1].number if held.entries else base
                 host.lost_mark = host.lost_mark or (held.last_normal, top)
                 host.old = True
 
@@ -191,7 +199,7 @@
         saved = host.saved
         if self.disk and (saved is None or saved.incarnation != core.incarnation):
             return True
-        if (core.log.last, min(core.sure if not core.leading else core.log.top, core.durable)) < host.lost_mark:
+        if (core.log.last, min(core.log.top if core.leading else core.sure, core.durable)) < host.lost_mark:
             return True
         host.lost_mark, host.old = None, False
         return False
@@ -205,15 +213,16 @@
                     self.post(host.name, to, encode(message))
                 case Write():
                     host.pending.append(effect)
-                    self.at(self.random.randint(1, 8) * MS, self.syncing(host, host.life, effect.ticket))
-                case Applied(entry, answer, state):
+                    span = 300 if self.random.random() < self.slow else 8
+                    self.at(self.random.randint(1, span) * MS, self.syncing(host, host.life, effect.ticket))
+                case Applied(entry, answer, _):
                     self.check_entry(host, entry, answer)
-                case Restored(number, state):
-                    assert number >= host.fed
+                case Restored(number, _):
+                    assert number > host.fed
                     host.fed = number
                 case Answer():
                     self.check_answer(effect)
-                case Halt(reason, why):
+                case Halt(reason, _):
                     host.halts.append(reason)
                     self.at(50 * MS, self.after_halt(host, host.life, reason))
                 case Note(event, _):
@@ -232,6 +241,9 @@
         def then() -> None:
             if host.life != life or not host.pending or host.pending[0].ticket > ticket:
                 return
+            if host.stuck:
+                self.at(50 * MS, self.syncing(host, life, ticket))
+                return
             while host.pending and host.pending[0].ticket <= ticket:
                 host.saved = written(host.saved, host.pending.pop(0))
             if self.random.random() < 0.05 and host.saved is not None:
@@ -298,7 +310,8 @@
         ticket = self.tickets
         self.waiting[ticket] = Waiting(name, host.life, token, command, 0, token in self.asked)
         self.asked.add(token)
-        self.do(host, host.replica.submit(self.now, WALL + self.now, ticket, token, command, self.now + patience))
+        until = self.now + patience
+        self.do(host, host.replica.submit(self.now, WALL + self.now, ticket, token, command, until))
         return ticket
 
     def read(self, name: str, patience: int = 2 * SECOND) -> int:
@@ -313,11 +326,6 @@
 
     # What must hold
 
-    def check_applied(self, host: Host) -> None:
-        """After a start: what its folder says is committed was."""
-        assert host.replica is not None
-        host.fed = host.replica.core.snapshot.number if host.replica.core.snapshot else 0
-
     def check_entry(self, host: Host, entry: Entry, answer: bytes) -> None:
         assert entry.number == host.fed + 1, (host.name, entry.number, host.fed)
         host.fed = entry.number
@@ -347,6 +355,7 @@
         self.cuts.clear()
         self.lose = self.repeat = self.late = 0.0
         for name, host in self.hosts.items():
+            host.stuck = False
             if host.paused:
                 self.resume(name)
             if host.replica is None:
@@ -362,11 +371,8 @@
         states = {name: host.replica and (host.replica.status, host.replica.committed, host.replica.state)
                   for name, host in self.hosts.items()}
         assert len(set(states.values())) == 1, states
-        assert all(host.replica and host.replica.status is Status.NORMAL for host in self.hosts.values()), states
+        assert all(state and state[0] is Status.NORMAL for state in states.values()), states
         assert {f"last-{name}" for name in self.hosts} <= self.acked.keys(), (states, self.answers)
         top = max(self.log)
         assert all(number <= top for number in self.acked.values())
         assert all(host.replica and host.replica.committed == top for host in self.hosts.values())
-
-
-Snapshots = Snapshot
