--- /dev/null
+++ b/benchmarks/heard_state.py
@@ -0,0 +1,125 @@
+"""Measures heard state: `python -m benchmarks.heard_state [--quick]`, from the root.
+
+Three members each say what a coordinator says of its servers, and exchange every second, in virtual time and
+with real bytes. Beside it in the same run: each member pushes all that it holds to each other every second.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import time
+import tracemalloc
+
+from ambershift.replication.heard.messages import Delta, Message, Part, Row, decode, encode
+from ambershift.replication.heard.store import Store
+from ambershift.replication.heard.words import Kind
+
+S = 1_000_000_000
+NAMES = ("n1", "n2", "n3")
+# A second, of the servers: starts, and those that are told one by one every other second.
+STARTS, ILL = 0.001, 0.01
+
+
+def say(store: Store, now: int, servers: int, rng: random.Random) -> None:
+    """As group/learned.py does: starts, ill ones and a sample every 2 s, shares and levels seldom."""
+    for _ in range(rng.randrange(2) + int(STARTS * servers)):
+        store.put(now, Kind.START, f"server-{rng.randrange(servers):05d}", now.to_bytes(8, "big"))
+    if now // S % 2 == 0:
+        for at in range(int(ILL * servers)):
+            store.put(now, Kind.ILL, f"server-{at:05d}\x1fzone-{at % 4}", rng.randbytes(30))
+        for zone in range(4):
+            store.put(now, Kind.ILL, f"\x1fzone-{zone}", rng.randbytes(30 * min(40, servers // 4 + 1)))
+    if now // S % 7 == 0:
+        for zone in range(4):
+            store.put(now, Kind.LEVEL, f"zone-{zone}", rng.randbytes(10))
+            store.put(now, Kind.SHARE, f"zone-{zone}", rng.randbytes(12))
+
+
+def exchange(one: Store, other: Store, now: int) -> tuple[int, int]:
+    """One asks the other; bytes both ways, and messages."""
+    talk: list[tuple[Store, Store, Message]] = [(one, other, one.digest())]
+    size = count = 0
+    while talk:
+        sender, to, message = talk.pop()
+        data = encode(message)
+        size, count = size + len(data), count + 1
+        answers, _ = to.hear(now, decode(data))
+        talk += [(to, sender, answer) for answer in answers]
+    return size, count
+
+
+def push(one: Store, other: Store, now: int) -> int:
+    """All that it holds, as one message."""
+    parts = tuple(Part(name, origin.incarnation, 0, origin.upto, tuple(
+        Row(held.version, held.kind, held.key, held.body, now - held.since)
+        for held in origin.records.values())) for name, origin in one.origins.items())
+    data = encode(Delta(parts, False))
+    other.hear(now, decode(data) if len(data) <= 1 << 20 else Delta(parts, False))
+    return len(data)
+
+
+def run(servers: int, seconds: int, full: bool) -> tuple[float, float, float]:
+    """Bytes a second of all members together, and ms of work a second, and messages, once it runs evenly."""
+    rng = random.Random(servers)
+    stores = [Store(name, 1) for name in NAMES]
+    size = count = spent = 0.0
+    for second in range(60 + seconds):
+        now = (1000 + second) * S
+        for store in stores:
+            say(store, now, servers, rng)
+        started = time.process_time()
+        sent = messages = 0
+        for one in stores:
+            for other in stores:
+                if one is not other:
+                    some, few = (push(one, other, now), 1) if full else exchange(one, other, now)
+                    sent, messages = sent + some, messages + few
+            one.sweep(now)
+        if second >= 60:
+            spent += time.process_time() - started
+            size, count = size + sent, count + messages
+    return size / seconds, spent / seconds * 1000, count / seconds
+
+
+def costs(quick: bool) -> None:
+    print("| servers | how | bytes a second, all members | a server and second | messages a second | "
+          "work, ms a second |\n" + "| --- " * 6 + "|")
+    for servers in (10, 100, 1_000, 10_000):
+        for name, full in (("deltas", False), ("all is pushed", True)):
+            seconds = 10 if quick or full and servers > 1_000 else 60
+            size, work, count = run(servers, seconds, full)
+            print(f"| {servers} | {name} | {size:.0f} | {size / servers:.1f} | {count:.1f} | {work:.1f} |",
+                  flush=True)
+
+
+def catching_up(quick: bool) -> None:
+    print("\n| records held | bytes to a new member | messages | ms | memory, bytes a record |\n"
+          + "| --- " * 5 + "|")
+    for records in (100, 1_000, 10_000) if quick else (1_000, 10_000, 100_000):
+        tracemalloc.start()
+        known = Store("n1", 1)
+        for at in range(min(records, 50_000)):
+            known.put(0, Kind.START, f"server-{at:05d}", bytes(8))
+        rows = tuple(Row(at + 1, Kind.START, f"server-{at:05d}", bytes(8), 0)
+                     for at in range(records - 50_000))
+        known.hear(0, Delta((Part("n2", 1, 0, len(rows), rows),), False))
+        memory = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        fresh, started = Store("n3", 1), time.perf_counter()
+        size, count = exchange(fresh, known, S)
+        assert fresh.count == records
+        print(f"| {records} | {size} | {count} | {(time.perf_counter() - started) * 1e3:.0f} | "
+              f"{memory / records:.0f} |", flush=True)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="shorter")
+    given = parser.parse_args()
+    costs(given.quick)
+    catching_up(given.quick)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_heard.py
+++ b/tests/test_heard.py
@@ -173,6 +173,18 @@
     assert [one.age_ns for one in c.all(9_003 * S, Kind.START)] == [25 * S]
 
 
+def test_what_is_too_old_is_neither_told_nor_taken() -> None:
+    a, b = Store("a", 1), Store("b", 1)
+    a.put(0, Kind.ILL, "s", b"x")
+    a.put(0, Kind.START, "t", b"y")
+    late = a.delta(30 * S, {})
+    assert [row.key for part in late.parts for row in part.rows] == ["t"] and late.parts[0].upto == 2
+    early = Delta((Part("a", 1, 0, 2, (Row(1, Kind.ILL, "s", b"x", longest(Kind.ILL)),
+                                       Row(2, Kind.START, "t", b"y", 0))),), False)
+    assert [one.key for one in b.hear(0, early)[1]] == ["t"] and b.count == 1
+    assert b.digest().vector[1] == Place("a", 1, 2)
+
+
 def test_stores_are_bounded_and_a_loud_member_pushes_out_its_own() -> None:
     store = Store("a", 1, Bounds(3, 50, 120, 1 << 20))
     for at in range(40):
@@ -186,6 +198,10 @@
     for _ in range(5_000):
         store.put(0, Kind.ILL, "s", b"z")
     assert len(store.ages.heap) < 6 * store.count + 1100
+    few = Store("a", 1, Bounds(3, 10, 120, 1 << 20))
+    for at in range(40):
+        few.put(0, Kind.START, f"a{at}", b"x")
+    assert few.keys(Kind.START) == [f"a{at}" for at in range(30, 40)]
     small = Store("a", 1, Bounds(3, 50, 120, 2_000))
     for at in range(40):
         small.put(0, Kind.START, f"a{at}", b"x" * 300)
