--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # What one needs day by day; .ci/run does lint and test in an environment of its own.
 PYTHON = .venv/bin/python
 
-.PHONY: build dev test lint run measure
+.PHONY: try build dev test lint run measure
 
 build:
 	$(PYTHON) -m pip --version >/dev/null 2>&1 || python3 -m venv .venv
@@ -10,6 +10,11 @@
 dev: build
 	$(PYTHON) -m pip -q --disable-pip-version-check install -r requirements-dev.txt
 
+# Three coordinators that hold things in common, among stand-ins, of which one is lost with its folder.
+try: build
+	$(PYTHON) -m pip -q --disable-pip-version-check install -r requirements-tools.txt
+	$(PYTHON) -m ambershift.standins
+
 test: dev
 	$(PYTHON) -m pytest -q
 
