--- a/ambershift/group/links/dialled.py
+++ b/ambershift/group/links/dialled.py
@@ -37,11 +37,14 @@
 class Dialled:
     """`seed` is for the chance in its pauses, so that members cut off together don't come back together."""
 
-    def __init__(self, peer: Peer, run: str, above: Above, tally: Tally, note: Note, seed: int) -> None:
-        self.peer, self.run_id, self.above, self.tally, self.note = peer, run, above, tally, note
+    def __init__(self, peer: Peer, run: str, above: Above, tally: Tally, note: Note, seed: int,
+                 role: Role = Role.MEMBER) -> None:
+        self.role, self.peer, self.run_id, self.above = role, peer, run, above
+        self.tally, self.note = tally, note
         self.queue, self.wake, self.state = Queue(), asyncio.Event(), seed & MASK
         self.socket: ClientWebSocketResponse | None = None
         self.up, self.refusal, self.dropped = False, "", False
+        self.limit: asyncio.Timeout | None = None  # Of the write under way.
         tally.ways[peer.name] = Close.AWAY
 
     def send(self, kind: Kind, payload: bytes) -> bool:
@@ -54,6 +57,8 @@
                 return False
         except FullError:
             self.dropped = True  # The task ends the link; until then nothing more is taken.
+            if self.limit is not None:
+                self.limit.reschedule(asyncio.get_running_loop().time())
         self.wake.set()
         return not self.dropped
 
@@ -95,7 +100,7 @@
                 autoclose=True)
         async with asyncio.timeout(REPLY_LIMIT):
             await socket.send_bytes(encode(Hello(
-                WIRE, VERSION, Role.MEMBER, mine.name, peer.name, mine.incarnation, self.run_id, mine.group,
+                WIRE, VERSION, self.role, mine.name, peer.name, mine.incarnation, self.run_id, mine.group,
                 mine.title, mine.voters)))
             first = await socket.receive()
         answer = read_reply(first.data if first.type is WSMsgType.BINARY else None)
@@ -124,10 +129,12 @@
                     await asyncio.wait([waiter, reader], return_when=asyncio.FIRST_COMPLETED)
                     waiter.cancel()
                     continue
-                async with asyncio.timeout(WRITE_LIMIT):
+                async with asyncio.timeout(WRITE_LIMIT) as self.limit:
                     await socket.send_bytes(self.queue.take())
+                self.limit = None
             return True
         finally:
+            self.limit = None
             reader.cancel()
             await asyncio.gather(reader, return_exceptions=True)
 
