--- /dev/null
+++ b/ambershift/admin/adopt.py
@@ -0,0 +1,69 @@
+"""Adopt: a desk takes over what a group has promised. Nothing of it is refused here, that was the leader's to
+do; the rules on who is lent and who waits for an heir hold as for any command."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from ambershift.admin.ledger import Ledger
+from ambershift.admin.mirror import Mirror
+from ambershift.admin.pace import Pace
+from ambershift.admin.pending import Told, Waiting
+from ambershift.admin.words import Standing
+from ambershift.admin.world import World
+
+
+class Adopting:
+    """The part of a desk that a group speaks to."""
+
+    world: World
+    ledger: Ledger
+    mirror: Mirror
+    pace: Pace
+    waiting: Waiting
+    ahead: dict[int, Standing]
+    permits: dict[int, int]
+    urgent: set[int]
+    commands: int
+
+    def set_world(self, world: World) -> None:
+        raise NotImplementedError
+
+    def relend(self, world: World, now: int) -> World:
+        raise NotImplementedError
+
+    def adopt(self, now: int, wishes: Mapping[int, Standing], who: str, text: str) -> tuple[int, ...]:
+        """Take over wishes that stand; those for servers that are not listed yet wait until they are."""
+        world, changed = self.world, list[int]()
+        for server, wish in wishes.items():
+            if server not in world.listed:
+                self.ahead[server] = wish
+            elif (old := world.own(server)) != wish:
+                world = world.with_wish(server, wish)
+                if old._replace(origin=wish.origin) != wish:
+                    changed.append(server)
+        if changed:
+            self.commands += 1
+            self.ledger.note(now, "command", who, text)
+        self.take_up(now, changed)
+        if not self.mirror.picture.seats:
+            # A member that catches up: no proxy costs a line yet, and the first to come must find all told.
+            self.urgent.update(changed)
+        self.set_world(self.relend(world, now))
+        return tuple(changed)
+
+    def permit(self, now: int, until: Mapping[int, int]) -> None:
+        """Keep these out as under maintenance, each until its end by this desk's clock, and no others."""
+        self.permits = dict(until)
+        world = self.world.with_permits(self.permits, now)
+        self.take_up(now, [server for server in {*world.permitted, *self.world.permitted}
+                           if world.wish(server) != self.world.wish(server)])
+        self.set_world(self.relend(world, now))
+
+    def take_up(self, now: int, servers: Sequence[int]) -> None:
+        """What is wanted of these is another now, and on its way."""
+        for server in servers:
+            self.pace.note(server, now)
+            told = self.waiting.get(server)
+            scaled = told.scaled if told else False
+            self.waiting = self.waiting.insert(server, Told(told.at if told else now, scaled=scaled))
--- a/ambershift/admin/desk.py
+++ b/ambershift/admin/desk.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from rpds import HashTrieMap
 
 from ambershift import interface as api
+from ambershift.admin.adopt import Adopting
 from ambershift.admin.coverage import Lender, Warmth, heir_is_away
 from ambershift.admin.ledger import Ledger
 from ambershift.admin.mirror import NEVER_SHUT, Mirror
@@ -38,7 +39,7 @@
 SWEEP_EVERY = 50_000_000
 
 
-class Desk:
+class Desk(Adopting):
     def __init__(self, cold: int, report_period: int) -> None:
         self.warmth, self.period = Warmth(cold), report_period
         self.world, self.lender, self.pace = EMPTY, Lender(self.warmth), Pace(self.lowers)
@@ -117,44 +118,6 @@
             return Refused(Reason.TOO_MANY_WAIT)
         return outcome
 
-    # What a group has promised: nothing of it is refused here, that was the leader's to do
-
-    def adopt(self, now: int, wishes: Mapping[int, Standing], who: str, text: str) -> tuple[int, ...]:
-        """Take over wishes that stand; those for servers that are not listed yet wait until they are."""
-        world, changed = self.world, list[int]()
-        for server, wish in wishes.items():
-            if server not in world.listed:
-                self.ahead[server] = wish
-            elif (old := world.own(server)) != wish:
-                world = world.with_wish(server, wish)
-                if old._replace(origin=wish.origin) != wish:
-                    changed.append(server)
-        if changed:
-            self.commands += 1
-            self.ledger.note(now, "command", who, text)
-        self.take_up(now, changed)
-        if not self.mirror.picture.seats:
-            # A member that catches up: no proxy costs a line yet, and the first to come must find all told.
-            self.urgent.update(changed)
-        self.set_world(self.relend(world, now))
-        return tuple(changed)
-
-    def permit(self, now: int, until: Mapping[int, int]) -> None:
-        """Keep these out as under maintenance, each until its end by this desk's clock, and no others."""
-        self.permits = dict(until)
-        world = self.world.with_permits(self.permits, now)
-        self.take_up(now, [server for server in {*world.permitted, *self.world.permitted}
-                           if world.wish(server) != self.world.wish(server)])
-        self.set_world(self.relend(world, now))
-
-    def take_up(self, now: int, servers: Sequence[int]) -> None:
-        """What is wanted of these is another now, and on its way."""
-        for server in servers:
-            self.pace.note(server, now)
-            told = self.waiting.get(server)
-            scaled = told.scaled if told else False
-            self.waiting = self.waiting.insert(server, Told(told.at if told else now, scaled=scaled))
-
     # What is told to the module, and when
 
     def next_at(self, now: int) -> int | None:
--- a/ambershift/group/member.py
+++ b/ambershift/group/member.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ambershift.group.asking import Asking
 from ambershift.group.at_desk import AtDesk
 from ambershift.group.disk.worker import Disk
 from ambershift.group.gossip import Gossip
@@ -15,7 +16,7 @@
 from ambershift.group.links.links import Links
 from ambershift.group.links.wire import Close, Kind, Refused, UnreadableError
 from ambershift.group.spec import Spec
-from ambershift.promises.answers import decode, encode, read_answer
+from ambershift.promises.answers import decode, read_answer
 from ambershift.promises.machine import PromisesMachine
 from ambershift.promises.state import EMPTY, Promises
 from ambershift.promises.words import Command, Wishes
@@ -24,15 +25,14 @@
 from ambershift.replication.words import Answer, Applied, Halt, Reason, Restored, Send, Write
 
 SECOND = 1_000_000_000
-# Beyond a client's own bound the replica has answered; this is against a loop that was held up.
-GRACE = 1.0
 
 
-class Member:
+class Member(Asking):
     """`now` never goes back; `wall` is this member's wall clock, what its clock is set ahead included."""
 
     def __init__(self, spec: Spec, machine: PromisesMachine, at_desk: AtDesk, now: Callable[[], int],
                  note: Note, seed: int) -> None:
+        super().__init__()
         self.spec, self.machine, self.at_desk, self.now, self.note = spec, machine, at_desk, now, note
         self.seed = seed
         self.members = frozenset((*spec.voters, *spec.copies))
@@ -42,8 +42,6 @@
         self.disk: Disk | None = None
         self.halted: tuple[str, str] | None = None
         self.renewed, self.welcomed, self.stopping = False, False, False
-        self.asked = dict[int, asyncio.Future[Answer]]()
-        self.tickets = 0
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0
         self.gossip = Gossip(self)
@@ -95,41 +93,11 @@
         if disk is not None and not await asyncio.to_thread(disk.close):
             self.note("disk_hangs")
 
-    # What is asked of it
-
-    async def submit(self, token: str, command: Command, wait: int) -> Answer:
-        """Answered within `wait` ns; a refusal by name says whether anything may stand."""
-        return await self.ask(lambda now, ticket: self.running().submit(
-            now, self.wall(), ticket, token, encode(command), now + wait), wait)
-
-    async def read(self, wait: int) -> Answer:
-        """Once answered, `state` has all that was promised when this was called."""
-        return await self.ask(lambda now, ticket: self.running().read(now, ticket, now + wait), wait)
-
-    async def ask(self, call: Callable[[int, int], list[Any]], wait: int) -> Answer:
-        if self.stopping:
-            return Answer(0, Reason.STOPPING, b"", 0)
-        if self.replica is None or self.halted:
-            return Answer(0, Reason.NO_MAJORITY, b"", SECOND)
-        self.tickets += 1
-        ticket, future = self.tickets, asyncio.get_running_loop().create_future()
-        self.asked[ticket] = future
-        self.perform(call(self.now(), ticket))
-        try:
-            async with asyncio.timeout(wait / SECOND + GRACE):
-                return await asyncio.shield(future)
-        except TimeoutError:
-            return Answer(ticket, Reason.OUTCOME_UNKNOWN, b"", SECOND)
-        finally:
-            self.asked.pop(ticket, None)
+    # What it is
 
     def wall(self) -> int:
         return self.now() + self.spec.clock_ahead
 
-    def running(self) -> Replica:
-        assert self.replica is not None
-        return self.replica
-
     @property
     def state(self) -> Promises:
         """As committed, as far as this member knows."""
@@ -207,9 +175,7 @@
                 case Restored():
                     self.take_all(effect.state)
                 case Answer():
-                    future = self.asked.get(effect.ticket)
-                    if future is not None and not future.done():
-                        future.set_result(effect)
+                    self.answered(effect)
                 case words.Note():
                     self.note(effect.event.replace("-", "_"), **effect.fields)
                 case Halt():
@@ -243,9 +209,7 @@
         if self.halted is None:
             self.halted = reason, why
             self.note("group_halted", reason=reason, why=why)
-            for ticket, future in self.asked.items():
-                if not future.done():
-                    future.set_result(Answer(ticket, Reason.OUTCOME_UNKNOWN, b"", SECOND))
+            self.unknown_all()
 
     def start_again(self, least: int, void: str) -> None:
         """A new life in the same process: blank, or under a newer incarnation."""
--- a/ambershift/group/rows.py
+++ b/ambershift/group/rows.py
@@ -9,7 +9,9 @@
 if TYPE_CHECKING:
     from ambershift.group.member import Member
 
-MS = 1_000_000
+MS, SECOND = 1_000_000, 1_000_000_000
+# Who was not heard for so long is told as away, and leads nobody here: beats come twenty times a second.
+AWAY = 2 * SECOND
 
 
 def member_rows(member: Member) -> list[dict[str, Any]]:
@@ -22,11 +24,14 @@
     made = []
     for name in names:
         row, own = rows.get(name), name == me
+        here = own or row is not None and 0 <= row.heard_ns < AWAY
         state, why = row.status if row is not None else "unknown", ""
+        if not here and row is not None and row.heard_ns >= 0:
+            state = "away"
         if own and halted is not None:
             state, why = "halted", f"{halted[0]}: {halted[1]}"
         made.append({
-            "name": name, "state": state, "leader": bool(row and row.leads and not (own and halted)),
+            "name": name, "state": state, "leader": bool(row and row.leads and here and not (own and halted)),
             "votes": name in member.spec.voters,
             "incarnation": member.life.incarnation if own else row.incarnation if row else 0,
             "committed": (replica.committed if replica else 0) if own else row.committed if row else 0,
--- a/ambershift/runtime/changing.py
+++ b/ambershift/runtime/changing.py
@@ -9,7 +9,7 @@
 from ambershift import interface as api
 from ambershift.admin.ledger import Reused
 from ambershift.admin.words import Change, Refused
-from ambershift.runtime import catalogue
+from ambershift.runtime import lookup
 from ambershift.runtime.changes import BadCommandError, named, read_changes, tell_refused
 from ambershift.runtime.common import Common
 from ambershift.runtime.converse import read_delay
@@ -70,7 +70,7 @@
         if len(rest) < 2 or len(rest[0]) > TOKEN_MOST:
             raise BadCommandError(f"'once' takes a token of up to {TOKEN_MOST} characters and a command.")
         token, words = rest[0], rest[1:]
-        found = catalogue.find(words)
+        found = lookup.find(words)
         if found is None or found[0].handler not in ONCE:
             raise BadCommandError("'once' is for commands that change servers.")
         if session.level < found[0].level:
--- a/ambershift/runtime/client.py
+++ b/ambershift/runtime/client.py
@@ -8,7 +8,7 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
-from ambershift.runtime import catalogue
+from ambershift.runtime import lookup
 from ambershift.runtime.changing import ONCE
 from ambershift.runtime.grammar import GrammarError, quote, read
 
@@ -164,7 +164,7 @@
     if words[0] == "prompt" or words[:2] == ("set", "severity-output"):
         raise ClientError(f"'{words[0]}' is for those who speak to the socket by hand; this client sets it "
                           f"itself")
-    found = catalogue.find(words)
+    found = lookup.find(words)
     if found is None or found[0].handler not in ONCE:
         return command, False
     return " ".join(["once", secrets.token_hex(12), *map(quote, words)]), True
--- a/ambershift/runtime/execute.py
+++ b/ambershift/runtime/execute.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from ambershift.runtime import catalogue
+from ambershift.runtime import lookup
 from ambershift.runtime.catalogue import Kind
 from ambershift.runtime.changes import BadCommandError
 from ambershift.runtime.changing import Changing
@@ -30,7 +30,7 @@
             return error(str(bad))
 
     def handle(self, session: Session, command: Command) -> Outcome:
-        found = catalogue.find(command.words)
+        found = lookup.find(command.words)
         if found is None or not self.has(found[0]):
             return self.unknown(session, command)
         entry, rest = found
@@ -44,7 +44,7 @@
         return handler(session, command, rest)
 
     def unknown(self, session: Session, command: Command) -> Answer:
-        near = [one for one in catalogue.alike(command.words)
+        near = [one for one in lookup.alike(command.words)
                 if one.level <= session.level and self.has(one)]
         first = f"Unknown command: '{' '.join(command.words)[:80]}'"
         if not near:
--- a/ambershift/runtime/reading.py
+++ b/ambershift/runtime/reading.py
@@ -9,7 +9,7 @@
 
 from ambershift.admin.ledger import Record
 from ambershift.admin.view import View
-from ambershift.runtime import show
+from ambershift.runtime import figures, show, stat
 from ambershift.runtime.changes import BadCommandError, named
 from ambershift.runtime.common import Common, Rows
 from ambershift.runtime.grammar import Command
@@ -19,8 +19,10 @@
 
 SECOND = 1_000_000_000
 MEMBER_COLUMNS = ("name", "state", "leader", "votes", "incarnation", "committed", "heard_ms", "link", "why")
-PERMIT_COLUMNS = ("permit", "server", "work", "phase", "ends", "tenants")
-PAIR_COLUMNS = ("victim", "suspect", "effect", "low", "high", "p", "nodes", "accused")
+PERMIT_COLUMNS = ("id", "work", "servers", "state", "granted", "ends", "tenants", "reason", "tenant",
+                  "nearest", "text")
+PAIR_COLUMNS = ("victim", "suspect", "effect", "low", "high", "p", "nodes", "suffering", "accused",
+                "reason")
 
 
 class Reading:
@@ -48,14 +50,14 @@
                 raise BadCommandError(f"No such backend '{words[0][:40]}'.")
             types, server = self.number(words[1]), self.number(words[2])
             words = words[3:]
-        return Answer(show.show_stat(self.scene, zones, types, server, self.form(words, ("json", "typed")),
+        return Answer(stat.show_stat(self.scene, zones, types, server, self.form(words, ("json", "typed")),
                                      no_maint, up))
 
     def do_show_servers_state(self, session: Session, command: Command, rest: tuple[str, ...]) -> Answer:
-        return Answer(show.show_servers_state(self.scene, self.zones(rest)))
+        return Answer(stat.show_servers_state(self.scene, self.zones(rest)))
 
     def do_show_servers_conn(self, session: Session, command: Command, rest: tuple[str, ...]) -> Answer:
-        return Answer(show.show_servers_conn(self.scene, self.zones(rest)))
+        return Answer(stat.show_servers_conn(self.scene, self.zones(rest)))
 
     def do_show_backend(self, session: Session, command: Command, rest: tuple[str, ...]) -> Answer:
         return Answer(("# name", *map(self.scene.zone_name, self.zones(()))))
@@ -81,14 +83,14 @@
         view = self.scene.view()
         if len(rest) != 1:
             raise BadCommandError("Require 'backend/server'.")
-        return Answer([f"{show.figure(self.scene.entry(view, server).weight)} "
-                       f"(initial {show.figure(view.world.listed[server].weight)})"
+        return Answer([f"{figures.figure(self.scene.entry(view, server).weight)} "
+                       f"(initial {figures.figure(view.world.listed[server].weight)})"
                        for server in named(self.scene, view, rest[0])])
 
     def do_show_pending(self, session: Session, command: Command, rest: tuple[str, ...]) -> Answer:
         view, json, servers = self.chosen(rest)
         names = ("server", "stage", "wish", "number", "who", "waiting_ms")
-        return Answer(show.rows(show.pending_rows(self.scene, view, servers), names, json))
+        return Answer(figures.rows(show.pending_rows(self.scene, view, servers), names, json))
 
     def do_show_standing(self, session: Session, command: Command, rest: tuple[str, ...]) -> Outcome:
         common, wait = self.scene.common, session.idle or WAIT
@@ -105,7 +107,7 @@
     def standing(self, rest: tuple[str, ...]) -> Answer:
         view, json, servers = self.chosen(rest)
         names = ("server", "wish", "status", "number", "who", "since_ms", "lent_ms")
-        return Answer(show.rows(show.standing_rows(self.scene, view, servers), names, json))
+        return Answer(figures.rows(show.standing_rows(self.scene, view, servers), names, json))
 
     def do_show_tables(self, session: Session, command: Command, rest: tuple[str, ...]) -> Answer:
         view, words, json = self.scene.view(), [word for word in rest if word != "json"], "json" in rest
@@ -113,7 +115,7 @@
         if len(words) > 1 or any(table not in view.picture.tables for table in tables):
             return error("No such table.")
         names = ("table", "proxies", "server", "weight", "shut", "reply", "settled")
-        return Answer(show.rows(show.table_rows(self.scene, view, tables), names, json))
+        return Answer(figures.rows(show.table_rows(self.scene, view, tables), names, json))
 
     def do_show_group(self, session: Session, command: Command, rest: tuple[str, ...]) -> Answer:
         assert self.scene.common is not None
@@ -130,7 +132,7 @@
     def plain_rows(self, rows: Rows, rest: tuple[str, ...], names: tuple[str, ...]) -> Answer:
         """The heading is that of the rows; where there is none, of what could stand here."""
         json = self.form(list(rest), ("json",)) == "json"
-        return Answer(show.rows(iter(rows), tuple(rows[0]) if rows else names, json))
+        return Answer(figures.rows(iter(rows), tuple(rows[0]) if rows else names, json))
 
     def do_show_events(self, session: Session, command: Command, rest: tuple[str, ...]) -> Outcome:
         words = [word for word in rest if not word.startswith("-")]
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -15,7 +15,7 @@
 from ambershift.cli.commands import LAZY
 from ambershift.cli.ctl import batch
 from ambershift.cli.logs import make
-from ambershift.runtime import catalogue, document
+from ambershift.runtime import catalogue, document, lookup
 from ambershift.runtime.execute import Executor
 from ambershift.runtime.grammar import Command, GrammarError, quote, read
 from ambershift.runtime.session import PAYLOAD_MOST, Level, Session
@@ -189,7 +189,7 @@
 
 def test_each_command_is_in_the_table_once_and_has_what_it_says() -> None:
     for entry in catalogue.TABLE:
-        assert catalogue.find(entry.path) == (entry, ())
+        assert lookup.find(entry.path) == (entry, ())
         assert bool(entry.handler) == (entry.kind is not catalogue.Kind.REFUSED) and entry.note
         assert not entry.handler or callable(getattr(Executor, f"do_{entry.handler}"))
     for name in ("show info", "show stat", "show servers "
@@ -197,7 +197,7 @@
                  "show events", "show errors", "show version", "get weight", "set weight", "set server",
                  "enable server", "disable "
                                   "server", "show pending", "wait", "set rate-limit connections global"):
-        assert catalogue.find(tuple(name.split())) is not None, name
+        assert lookup.find(tuple(name.split())) is not None, name
 
 
 def test_the_table_in_the_docs_is_the_catalogue() -> None:
