--- a/ambershift/replication/requests.py
+++ b/ambershift/replication/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ambershift.replication.applying import commit_to
 from ambershift.replication.core import Core, Want
 from ambershift.replication.leading import accept, ask_to_read
 from ambershift.replication.messages import Answered, Forward, ReadAsk, ReadAt
@@ -99,6 +100,8 @@
 
 def on_read_at(core: Core, now: int, sender: str, message: ReadAt) -> None:
     if message.asked == core.incarnation:
+        if message.view == core.view and sender == core.leader and core.status is Status.NORMAL:
+            commit_to(core, message.number)  # It is committed, or the leader would not have told it.
         take_read(core, message.ticket, message.number)
 
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -332,8 +332,8 @@
     one.synced(0, 1)
     asked = one.due(SECOND, WALL)
     number = next(effect.message.round for effect in asked if isinstance(effect, Send))
-    found = one.hear(SECOND, "n2", messages.Suspected(incarnation=1, view=0, asked=0, round=number, agree=True,
-                                                      rows=()))
+    said = messages.Suspected(incarnation=1, view=0, asked=0, round=number, agree=True, rows=())
+    found = one.hear(SECOND, "n2", said)
     found += one.hear(SECOND, "n2", messages.Leave(incarnation=1, view=1, lives=(), rows=()))
     assert one.view == 1 and [effect.view for effect in found if isinstance(effect, Write)] == [1]
     assert not [effect for effect in found if isinstance(effect, Send)]
