Replica: halt where another past is told, instead of failing

Reached only by more faults than are borne (an old folder and more): an assertion in the step was no name to act by.

--- a/ambershift/replication/applying.py
+++ b/ambershift/replication/applying.py
@@ -8,20 +8,26 @@
 
 from ambershift.replication.core import GROUP, Core
 from ambershift.replication.tokens import Tokens
-from ambershift.replication.words import Applied, Entry, Restored, Snapshot
+from ambershift.replication.words import Applied, Entry, Reason, Restored, Snapshot
 
 
-def append(core: Core, entries: tuple[Entry, ...]) -> None:
-    """Take over entries that follow from where the two logs are the same."""
+def append(core: Core, entries: tuple[Entry, ...]) -> bool:
+    """Take over entries that follow from where the two logs are the same. False: the other's past is not
+    ours, which no faults make that are borne; nobody may go on from there as if it were."""
     for entry in entries:
         if entry.number <= core.log.base:
             continue
         held = core.log.view_at(entry.number)
         if held == entry.view:
             continue
+        if held >= 0 and entry.number <= core.committed:
+            core.halt(Reason.OTHER_GROUP, f"entry {entry.number} was committed as of view {held}, told is "
+                                          f"another of view {entry.view}")
+            return False
         if held >= 0:
             void(core, entry.number)
         core.log.put(entry)
+    return True
 
 
 def void(core: Core, number: int) -> None:
--- a/ambershift/replication/following.py
+++ b/ambershift/replication/following.py
@@ -54,7 +54,8 @@
         core.note("group-unfit", member=sender)
         return
     if message.after <= core.sure or core.log.view_at(message.after) == message.after_view:
-        append(core, message.entries)
+        if not append(core, message.entries):
+            return
         core.sure = max(core.sure, message.after + len(message.entries))
         commit_to(core, message.committed)
         if not core.fixed.disk:  # Else once it is synced.
@@ -123,7 +124,8 @@
         if not take_piece(core, message):
             return
     elif message.after <= core.sure and in_order(message.after, message.entries):
-        append(core, message.entries)
+        if not append(core, message.entries):
+            return
         core.sure = max(core.sure, message.after + len(message.entries))
     else:
         return
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -14,7 +14,18 @@
 from ambershift.replication.messages import Chunk, Have, Told, UnreadableError, decode, encode
 from ambershift.replication.replica import Replica
 from ambershift.replication.timing import MS, PLAIN
-from ambershift.replication.words import Applied, Entry, Reason, Restored, Saved, Send, Status, Write
+from ambershift.replication.words import (
+    Answer,
+    Applied,
+    Entry,
+    Halt,
+    Reason,
+    Restored,
+    Saved,
+    Send,
+    Status,
+    Write,
+)
 
 
 def group(voters: int = 3, copies: int = 0, seed: int = 1, disk: bool = False, **more: Any) -> Sim:
@@ -71,6 +82,15 @@
         assert sim.acked["a"] in sim.log and sim.hosts[gone].replica
 
 
+def test_the_next_leader_is_one_that_is_there() -> None:
+    sim = group(voters=5)
+    sim.crash("n2")
+    sim.run(SECOND)
+    sim.crash("n1")
+    sim.run(700 * MS)
+    assert leader(sim) == "n3" and sim.notes["group-leaves"] == 3  # None for the view that n2 would lead.
+
+
 def test_a_minority_answers_nothing_and_says_when_to_come_back() -> None:
     sim = group(voters=5)
     old = leader(sim)
@@ -339,3 +359,19 @@
     assert not [effect for effect in found if isinstance(effect, Send)]
     sent = [effect.message for effect in one.synced(SECOND, 2) if isinstance(effect, Send)]
     assert {type(message) for message in sent} == {messages.Leave, messages.Vote}
+
+
+def test_a_past_that_is_not_ours_halts_and_is_not_taken_over() -> None:
+    sim = group()
+    fill(sim, 3)
+    name = follower(sim)
+    one = sim.hosts[name].replica
+    assert one is not None
+    head, view = "n3" if name != "n3" else "n1", 2 if name != "n3" else 3
+    life = sim.hosts[head].replica.core.incarnation  # type: ignore[union-attr]
+    wrong = (Entry(view, 2, 0, "", b"another"),)
+    found = one.hear(sim.now, head, messages.Prepare(incarnation=life, view=view, group=one.group, after=1,
+                                                     after_view=0, entries=wrong, committed=2))
+    assert [effect.reason for effect in found if isinstance(effect, Halt)] == [Reason.OTHER_GROUP]
+    told = one.submit(sim.now, WALL, 1, "z", b"x", sim.now + SECOND)
+    assert told == [Answer(1, Reason.OTHER_GROUP, b"", 0)]
