--- a/ambershift/promises/words.py
+++ b/ambershift/promises/words.py
@@ -18,8 +18,7 @@
 
 
 class Wishes(msgspec.Struct, frozen=True, tag="wishes", array_like=True):
-    """An operator's command: all of its changes or none. `text` is the whole of what was asked, payload and
-    all: the digest under a token is made of it alone."""
+    """An operator's command: all of its changes or none."""
 
     who: str
     text: str
@@ -51,16 +50,8 @@
     ends: int
 
 
-class Answered(msgspec.Struct, frozen=True, tag="answered", array_like=True):
-    """A refusal by the leader's judgement, written so that its token gets the same answer at every member;
-    `text` is that of the refused `Wishes`, and its digest the same."""
-
-    text: str
-    answer: str
-
-
 class Nothing(msgspec.Struct, frozen=True, tag="nothing", array_like=True):
     """What a new leader writes first, so that what lies before it gets committed."""
 
 
-Command = Wishes | Declare | Grant | Move | Answered | Nothing
+Command = Wishes | Declare | Grant | Move | Nothing
