Test what a blank member must have heard, and that views wait for their sync

Three guards taken out went past all histories: recovery from any one answer, answers of members between views, vouching in a view that is not on the disk. Each has a test that fails without it now.

--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -375,3 +375,52 @@
     assert [effect.reason for effect in found if isinstance(effect, Halt)] == [Reason.OTHER_GROUP]
     told = one.submit(sim.now, WALL, 1, "z", b"x", sim.now + SECOND)
     assert told == [Answer(1, Reason.OTHER_GROUP, b"", 0)]
+
+
+def test_a_blank_member_does_not_recover_from_one_that_is_behind() -> None:
+    sim = group()
+    alone(sim, "n1")
+    sim.run(2 * SECOND)
+    fill(sim, 3)  # Held by n2 and n3 in a later view.
+    sim.crash("n3")
+    sim.start("n3")
+    alone(sim, "n2")  # Now n3 hears n1 alone, which still believes in its own view.
+    sim.run(3 * SECOND)
+    one = sim.hosts["n3"].replica
+    assert len(sim.acked) == 3 and one and one.status is Status.BLANK
+    sim.settle()
+
+
+def told(name: int, view: int, normal: bool = True, lives: Any = (), number: int = 0) -> Told:
+    return Told(incarnation=name, view=view, asked=9, round=1, normal=normal, group="g", number=number,
+                lives=lives, birth=(), rows=())
+
+
+@pytest.mark.parametrize("answers, source", [
+    ({"n2": told(2, 1), "n4": told(4, 1)}, ""),  # Too few.
+    ({"n2": told(2, 1), "n4": told(4, 0), "n5": told(5, 1)}, "n2"),
+    ({"n2": told(2, 1), "n4": told(4, 1, normal=False), "n5": told(5, 0)}, ""),  # One is between two views.
+    ({"n1": told(1, 0), "n4": told(4, 1), "n5": told(5, 0)}, ""),  # Without the newest view's leader.
+    ({"n1": told(1, 5), "n2": told(2, 1), "n4": told(4, 0)}, "n1"),
+    ({"n2": told(2, 1), "n4": told(4, 0), "n5": told(5, 1, lives=(("n4", 40),))}, ""),  # n4 lives anew.
+    ({"n4": told(40, 0), "n2": told(2, 1), "n5": told(5, 1, lives=(("n4", 40),))}, "n2"),
+])
+def test_recovery_needs_a_majority_of_sound_answers(answers: dict[str, Told], source: str) -> None:
+    one = Replica("n3", ["n1", "n2", "n3", "n4", "n5"], [], Counting(), 1, 9, None, False, noop=b"noop")
+    for name, answer in answers.items():
+        one.hear(0, name, answer)
+    task = one.core.fetching
+    assert (task.source if task else "") == source
+
+
+def test_a_follower_vouches_for_nothing_while_its_view_is_not_on_its_disk() -> None:
+    saved = Saved("g", 4, 0, 0, 1, None, (Entry(0, 1, 0, "group:g", b"noop"),))
+    one = Replica("n3", ["n1", "n2", "n3"], [], Counting(), 1, 5, saved, True, noop=b"noop")
+    one.due(0, WALL)
+    one.synced(0, 1)
+    beat = messages.Beat(incarnation=1, view=1, group="g", round=3, top=1, committed=1, rows=(),
+                         voters=("n1", "n2", "n3"))
+    kinds = [type(effect.message) for effect in one.hear(0, "n2", beat) if isinstance(effect, Send)]
+    assert kinds == [] and one.view == 1
+    sent = [effect.message for effect in one.synced(0, 2) if isinstance(effect, Send)]
+    assert [(type(message), message.view, message.number) for message in sent] == [(Have, 1, 1)]
