--- a/ambershift/counters/worlds.py
+++ b/ambershift/counters/worlds.py
@@ -61,7 +61,8 @@
         kinds = sorted(KINDS)
         base = {(kind, group): KINDS[kind] * chance.uniform(0.7, 2.5)
                 for kind in kinds for group in (*TENANTS, *NEIGHBOURS)}
-        self.node, self.kind, self.name, self.group, self.tenant = [], [], [], [], []  # type: ignore[var-annotated]
+        self.node, self.kind, self.name = list[str](), list[str](), list[str]()
+        self.group, self.tenant = list[str](), list[str]()
         serial = 0
         for node in range(count):
             kind = kinds[node % len(kinds)]
@@ -101,12 +102,14 @@
             at, before = node * self.per_node, np.zeros(0)
             for place in range(self.per_node):
                 if place < plan.servers:
-                    day = 1.0 + 0.4 * np.sin(2 * np.pi * (time / chance.uniform(500, 9_000) + chance.uniform()))
+                    turn = time / chance.uniform(500, 9_000) + chance.uniform()
+                    day = 1.0 + 0.4 * np.sin(2 * np.pi * turn)
                     made = chance.uniform(0.6, 2.0) * day
                 else:
                     made = self._schedule()
                     if plan.twins and place == plan.servers + 1:
-                        made = np.where(chance.random(plan.slots) < 0.7, before * chance.uniform(0.7, 1.3), made)
+                        same = chance.random(plan.slots) < 0.7
+                        made = np.where(same, before * chance.uniform(0.7, 1.3), made)
                     if place > plan.servers + 1 and chance.random() < plan.comers:
                         start, end = sorted(chance.integers(0, plan.slots, 2))
                         made[:start] = made[end:] = np.nan
@@ -132,8 +135,8 @@
                     for victim in (row for row in rows if self.group[row] == plant.victim and row != culprit):
                         cpi[victim] += plant.slope * np.nan_to_num(self.uses[culprit])
         for node in chance.choice(plan.nodes, round(plan.slow * plan.nodes), replace=False):
-            start, rows = int(chance.integers(plan.slots)), slice(node * self.per_node, (node + 1) * self.per_node)
-            cpi[rows, start:start + int(chance.integers(60, 180))] += 0.4
+            start, first = int(chance.integers(plan.slots)), node * self.per_node
+            cpi[first:first + self.per_node, start:start + int(chance.integers(60, 180))] += 0.4
         return np.asarray(cpi)
 
     def _lie(self) -> None:
--- a/ambershift/interference/engine.py
+++ b/ambershift/interference/engine.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from ambershift.interference import records
-from ambershift.interference.node import Node
+from ambershift.interference.node import SLOT_NS, Node
 from ambershift.interference.normal import Normal, Sketch, liars, normal
 from ambershift.interference.pooled import lost, median, pairs, scores
 from ambershift.interference.records import Baseline, Evidence, Put, UnreadableError
@@ -20,13 +20,12 @@
 from ambershift.interference.words import Sample, Score, Unusable
 from ambershift.replication.heard import Kind, Record
 
-MINUTE = 60_000_000_000
 BEAT_NS = 1_000_000_000
 SLICE = 16  # Nodes that are looked at in one call of `due`, so that no call takes long.
-OLD_NS = 30 * MINUTE  # Evidence older than this, by the middle of the members' newest, no longer counts.
-SCORE_NS = MINUTE // 2  # Scores are worked out so often at most.
-LATELY_NS = 11 * MINUTE  # Nor does what a server suffers.
-FORGET_NS = 120 * MINUTE  # A job that is silent for so long is forgotten.
+OLD = 180  # Slots. Evidence that is older, by the middle of the members' newest, no longer counts.
+SCORE_AFTER = 3  # Scores are worked out so often at most.
+LATELY = 66  # Nor does what a server suffers.
+FORGET = 720  # A job that is silent for so long is forgotten.
 
 
 class Bounds(NamedTuple):
@@ -52,9 +51,10 @@
 
 
 class Engine:
-    def __init__(self, me: str, ease: bool = False, ease_most: float = 0.2, bounds: Bounds | None = None
-                 ) -> None:
-        self.me, self.ease, self.ease_most = me, ease, ease_most
+    def __init__(self, me: str, ease: bool = False, ease_most: float = 0.2, slot_ns: int = SLOT_NS,
+                 bounds: Bounds | None = None) -> None:
+        """`slot_ns` is the interval of perf, the same at all members."""
+        self.me, self.ease, self.ease_most, self.slot_ns = me, ease, ease_most, slot_ns
         self.bounds = bounds or Bounds()
         self.unusable = Counter[str]()  # By words.Unusable, and `too-many`, `unreadable-record`, `too-late`.
         self.taken = 0
@@ -88,11 +88,11 @@
         if node is None:
             if len(self._nodes) >= self.bounds.nodes:
                 return "too-many"
-            node = Node(sample.node)
+            node = Node(sample.node, self.slot_ns)
         job = node.job(sample, self.bounds.jobs)
         if job is None:
             return "too-many"
-        why = judge(sample, now, job.told)
+        why = judge(sample, now, job.told, self.slot_ns)
         if why is not None:
             if not job.last:
                 node.forget(sample.job)  # What never told anything of use takes no place.
@@ -157,7 +157,7 @@
         if (kind, group) not in self._normals:
             pool = self._pools.get((kind, group), {})
             newest = max((one.at for one in pool.values()), default=0)
-            self._normals[kind, group] = normal(pool, newest, self._liars)
+            self._normals[kind, group] = normal(pool, newest, self._liars, self.slot_ns)
         return self._normals[kind, group]
 
     def due(self, now: int) -> list[Put]:
@@ -170,7 +170,7 @@
             made += self._give(node, block.evidence)
         if not ripe:
             made += self._forget(now)
-            if now - self._scored_at >= SCORE_NS:
+            if now - self._scored_at >= SCORE_AFTER * self.slot_ns:
                 self._scored_at = now
                 self.refresh()
         self.next_at = now + (BEAT_NS // 20 if len(ripe) > SLICE else BEAT_NS)
@@ -200,7 +200,7 @@
         """Jobs and nodes that are silent for long are taken back."""
         made = list[Put]()
         for name, node in list(self._nodes.items()):
-            for job in [job for job, one in node.jobs.items() if now - one.last > FORGET_NS]:
+            for job in [job for job, one in node.jobs.items() if now - one.last > FORGET * self.slot_ns]:
                 made.append(Put(Kind.MET, records.met_key(name, job), b""))
                 kind, group = node.jobs[job].kind, node.jobs[job].group
                 node.forget(job)
@@ -226,13 +226,14 @@
         newest = dict[tuple[str, str], Evidence]()
         for _, one in sorted(self._evidence.items(), key=lambda item: item[0]):
             place = one.node, one.job
-            if now - one.at <= OLD_NS and (place not in newest or one.at > newest[place].at):
+            if now - one.at <= OLD * self.slot_ns and (place not in newest or one.at > newest[place].at):
                 newest[place] = one
         self._scores = scores(pairs(newest.values(), found))
         self._current = {}
         for _, one in sorted(newest.items(), key=lambda item: item[0]):
             before = self._current.get(one.job)
-            if one.node not in found and now - one.at <= LATELY_NS and (before is None or one.at > before.at):
+            fresh = now - one.at <= LATELY * self.slot_ns and (before is None or one.at > before.at)
+            if fresh and one.node not in found:
                 self._current[one.job] = one
 
     def scores(self) -> list[Score]:
@@ -257,8 +258,8 @@
             return {}
         found = dict[str, float]()
         for server, one in self._current.items():
-            part = min(self.ease_most, self.interfered(server)) if now - one.at <= 2 * LATELY_NS else 0.0
-            if part > 0.0:
+            part = min(self.ease_most, self.interfered(server))
+            if part > 0.0 and now - one.at <= 2 * LATELY * self.slot_ns:
                 found[server] = round(1.0 - part, 6)
         return found
 
--- a/ambershift/interference/node.py
+++ b/ambershift/interference/node.py
@@ -43,8 +43,8 @@
 
 
 class Node:
-    def __init__(self, name: str) -> None:
-        self.name = name
+    def __init__(self, name: str, slot_ns: int = SLOT_NS) -> None:
+        self.name, self.slot_ns = name, slot_ns
         self.jobs = dict[str, Job]()
         self.gathered = dict[tuple[str, str], Gatherer]()  # By kind of machine and group.
         self.newest = 0  # Slot; all up to it and back by WINDOW are kept.
@@ -78,7 +78,7 @@
 
     def add(self, job: Job, sample: Sample) -> bool:
         """False where its slot is learned from already."""
-        slot = (sample.at - sample.span_ns // 2) // SLOT_NS
+        slot = (sample.at - sample.span_ns // 2) // self.slot_ns
         if slot // BLOCK < self.looked:
             return False
         if slot > self.newest:
@@ -94,7 +94,7 @@
 
     def ripe(self, now: int) -> bool:
         """Whether a block has ended, with time for what comes late."""
-        return bool(self.newest) and min(self.newest, now // SLOT_NS - 3) // BLOCK > self.looked
+        return bool(self.newest) and min(self.newest, now // self.slot_ns - 3) // BLOCK > self.looked
 
     def series(self) -> tuple[npt.NDArray[np.int64], npt.NDArray[np.float64], npt.NDArray[np.float64]]:
         """Slots of whole blocks up to `looked`, and by row log CPI and use; NaN where unknown."""
@@ -109,7 +109,7 @@
     def look(self, now: int, normals: Normals) -> Block:
         """Learn from the blocks that have ended, and find who suffers and what goes with it."""
         first = self.looked * BLOCK
-        self.looked = min(self.newest, now // SLOT_NS - 3) // BLOCK
+        self.looked = min(self.newest, now // self.slot_ns - 3) // BLOCK
         slots, cpi, use = self.series()
         names = sorted(self.jobs)
         normal = {name: normals(self.jobs[name].kind, self.jobs[name].group) for name in names}
@@ -133,7 +133,7 @@
                use: npt.NDArray[np.float64], wanted: npt.NDArray[np.bool_]) -> None:
         gathered = self.gathered.setdefault((job.kind, job.group), Gatherer())
         for at in np.flatnonzero(wanted & ~np.isnan(cpi[job.row]) & (use[job.row] >= victims.USE_LEAST)):
-            gathered.add(int(slots[at] + 1) * SLOT_NS, float(cpi[job.row, at]))
+            gathered.add(int(slots[at] + 1) * self.slot_ns, float(cpi[job.row, at]))
 
     def _evidence(self, name: str, slots: npt.NDArray[np.int64], kept: npt.NDArray[np.float64],
                   use: npt.NDArray[np.float64], overs: npt.NDArray[np.float64], normal: Normal | None,
@@ -141,7 +141,7 @@
         job = self.jobs[name]
         others = [one for one in sorted(self.jobs) if one != name]
         rows = [self.jobs[one].row for one in others]
-        end = self.looked * BLOCK * SLOT_NS
+        end = self.looked * BLOCK * self.slot_ns
         suffering = normal is not None and victims.suffers(overs[job.row], normal)
         reason, met = "", list[records.Met]()
         ran = [row for row in rows if np.nansum(use[row]) > 0]
--- a/ambershift/interference/normal.py
+++ b/ambershift/interference/normal.py
@@ -17,7 +17,7 @@
 
 BINS, LOW, WIDTH = 800, -3.0, 0.01  # From CPI 0.05 to 148, in steps of 1 %.
 CAP = 360  # Samples that a sketch weighs at most: older ones halve away, and no node outweighs the others.
-HALF_LIFE_NS = 3_600_000_000_000
+HALF_LIFE = 360  # Slots.
 COUNT_LEAST = 90  # Samples in all, before anything is called normal; a quarter of an hour at 10 s.
 SIGMA = 1.4826  # Makes the median deviation of a normal distribution its standard deviation.
 SPREAD_LEAST = 0.02  # No narrower: two bins, and perf's own error.
@@ -91,10 +91,10 @@
     return merged
 
 
-def aged(sketch: Sketch, now: int) -> npt.NDArray[np.int64]:
+def aged(sketch: Sketch, now: int, slot_ns: int) -> npt.NDArray[np.int64]:
     """Its counts, halved for each half life; whole numbers, so that all members see the same."""
     counts = np.zeros(BINS, np.int64)
-    halvings = max(0, now - sketch.at) // HALF_LIFE_NS
+    halvings = max(0, now - sketch.at) // (HALF_LIFE * slot_ns)
     if halvings < 10:
         for bin_, count in sketch.bins:
             counts[bin_] = count << 10 >> halvings
@@ -110,14 +110,15 @@
     return at + (half - below) / int(counts[at])
 
 
-def normal(pool: Pool, now: int, without: Iterable[str] = ()) -> Normal | None:
+def normal(pool: Pool, now: int, without: Iterable[str] = (), slot_ns: int = 10_000_000_000
+           ) -> Normal | None:
     """None while there is too little evidence. `now` decides what is old: the same for all members."""
     left_out = frozenset(without)
     counts, nodes, count = np.zeros(BINS, np.int64), 0, 0
     for node, sketch in pool.items():
         if node in left_out:
             continue
-        one = aged(sketch, now)
+        one = aged(sketch, now, slot_ns)
         if one.any():
             counts += one
             nodes, count = nodes + 1, count + sketch.count
--- a/ambershift/interference/perfcsv.py
+++ b/ambershift/interference/perfcsv.py
@@ -18,6 +18,7 @@
 LINE_MOST = 1_024
 COUNTED_LEAST = 0.5  # Under half counted, the scaling guesses more than it has seen.
 WRAP_LEAST = 2.0 ** 47  # The counters have 48 bits; a difference of half of that in one interval is a wrap.
+AHEAD_MOST, LATE_MOST = 2 * SECOND, 45 * SECOND  # What a process that was held up still reads is late.
 METRIC_OFF = 0.05  # perf prints its metrics with two digits.
 EVENTS = {"cycles": "cycles", "cpu-cycles": "cycles", "instructions": "instructions",
           "cache-misses": "cache-misses", "task-clock": "task-clock"}
@@ -93,14 +94,16 @@
 class PerfReader:
     """Follows one job's rows. `took` counts why intervals or rows were of no use."""
 
-    def __init__(self, job: Job, start: int) -> None:
-        """`start`: Unix ns at which perf's time stamps count 0, as well as it is known."""
-        self.job, self.start = job, start
+    def __init__(self, job: Job, start: int | None = None) -> None:
+        """`start`: Unix ns at which perf's time stamps count 0. None: the first row tells, as it comes when
+        its interval ends; that interval began nobody knows when and is left out."""
+        self.job, self.start = job, start or 0
+        self._known = start is not None
         self.took = Counter[Unusable]()
         self.intervals = 0
         self._left = b""
         self._stamp = -1
-        self._before = 0
+        self._before, self._partial = 0, False
         self._rows = dict[str, Line]()
         self._bad: Unusable | None = None
         self._last: tuple[float, ...] = ()
@@ -137,15 +140,23 @@
                 # perf was started anew: its stamps count from its new start, and what the first interval
                 # spans is known from them.
                 self.took[Unusable.WRAPPED] += 1
-                self.start, self._before, self._last = now - line.stamp, 0, ()
+                self.start, self._before, self._last, self._partial = now - line.stamp, 0, (), False
             elif self._stamp >= 0:
                 self._before = self._stamp
             self._stamp = line.stamp
+            self._align(line.stamp, now)
         if line.event in self._rows:
             self._bad = Unusable.REPEATED if self._rows[line.event] == line else Unusable.CONTRADICTING
         self._rows[line.event] = line
         return found
 
+    def _align(self, stamp: int, now: int) -> None:
+        """perf counts by its own clock: where that runs ahead of ours, or far behind, ours holds."""
+        if not self._known:
+            self.start, self._known, self._partial = now - stamp, True, True
+        elif not now - LATE_MOST <= self.start + stamp <= now + AHEAD_MOST:
+            self.start, self._bad = now - stamp, Unusable.SKEWED
+
     def flush(self) -> list[Sample]:
         """The interval that is under way, as far as it came."""
         if not self._rows:
@@ -153,6 +164,9 @@
         rows, bad = self._rows, self._bad
         self._rows, self._bad = {}, None
         made = bad or self._made(rows)
+        partial, self._partial = self._partial, False
+        if partial:
+            return []
         if isinstance(made, Unusable):
             self.took[made] += 1
             return []
--- a/ambershift/interference/pooled.py
+++ b/ambershift/interference/pooled.py
@@ -21,6 +21,7 @@
 
 ALPHA = 0.001  # For all pairs of a look; looks that share no sample come every hour.
 EFFECT_LEAST = 0.03  # Less than this part of a job's speed is not worth a move.
+NODES_LEAST = 2  # Nobody is accused on one node's word: that a node invents can't be seen on it alone.
 FREEDOM_LEAST = 5.0  # Over all nodes: fewer, and the tail of t is a guess.
 STRAY_NODES, STRAY = 5, 8.0  # With so many nodes, one that is so far off the middle doesn't count.
 DIGITS = 6
@@ -122,5 +123,6 @@
         effect, low, high = (lost((one.slope + off) * one.busy) for off in (0.0, -reach, reach))
         p = corrected[pair]
         made.append(Score(*pair, round(effect, DIGITS), round(low, DIGITS), round(high, DIGITS),
-                          float(f"{p:.5g}"), one.nodes, p <= ALPHA and effect >= EFFECT_LEAST and low > 0.0))
+                          float(f"{p:.5g}"), one.nodes, one.nodes >= NODES_LEAST and p <= ALPHA
+                          and effect >= EFFECT_LEAST and low > 0.0))
     return made
--- a/ambershift/interference/records.py
+++ b/ambershift/interference/records.py
@@ -11,11 +11,13 @@
 import msgspec
 
 from ambershift.interference.normal import Sketch, sound
+from ambershift.interference.words import Sample
 from ambershift.replication.heard import Kind
 
 VERSION = 1
 BODY_MOST = 8_192
 ROWS_MOST = 64
+SAMPLES_MOST = 2_048  # In one message of a process that reads counters.
 SLOPE, ERROR, FREEDOM, BUSY, LEVEL = 10_000, 10_000, 100, 1_000, 10_000  # Parts that the whole numbers count.
 FIGURE_MOST = 10 ** 9
 
@@ -64,6 +66,7 @@
 
 Encoder, Decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder
 READ_EVIDENCE, READ_BASELINE = Decoder(Evidence), Decoder(Baseline)
+READ_SAMPLES = Decoder(list[Sample])
 
 
 def met_key(node: str, job: str) -> str:
@@ -74,10 +77,21 @@
     return f"{kind}|{group}|{node}"
 
 
-def encode(what: Evidence | Baseline) -> bytes:
+def encode(what: Evidence | Baseline | list[Sample]) -> bytes:
     return Encoder.encode(what)
 
 
+def read_samples(payload: bytes) -> list[Sample]:
+    """What a process that reads counters hands over: `encode` of a list of samples."""
+    try:
+        found = READ_SAMPLES.decode(payload)
+    except msgspec.DecodeError as error:
+        raise UnreadableError(str(error)) from None
+    if len(found) > SAMPLES_MOST:
+        raise UnreadableError(f"{len(found)} samples")
+    return found
+
+
 def read_evidence(key: str, body: bytes) -> Evidence:
     if len(body) > BODY_MOST:
         raise UnreadableError("too-large")
--- a/ambershift/interference/sift.py
+++ b/ambershift/interference/sift.py
@@ -7,7 +7,7 @@
 from ambershift.interference.words import Sample, Unusable
 
 SECOND = 1_000_000_000
-SPAN_LEAST, SPAN_MOST = SECOND // 2, 15 * SECOND
+SPAN_LEAST, SPAN_MOST = 0.05, 1.5  # Of a slot.
 SKEW_MOST = 60 * SECOND  # Between a node's clock and its member's, and what waits on the way.
 COUNTED_LEAST = 0.5
 CPUS_MOST = 4_096.0
@@ -28,7 +28,7 @@
         self.ratio, self.same = 0.0, 0
 
 
-def judge(sample: Sample, now: int, told: Told) -> Unusable | None:
+def judge(sample: Sample, now: int, told: Told, slot_ns: int = 10 * SECOND) -> Unusable | None:
     """None where it can be learned from; `told` is moved on. An idle job's sample, all 0, can."""
     figures = (sample.cycles, sample.instructions, sample.cache_misses, sample.task_ns)
     names = (sample.node, sample.kind, sample.job, sample.tenant)
@@ -38,7 +38,7 @@
         return Unusable.IMPOSSIBLE
     if min(figures) < 0:
         return Unusable.WRAPPED
-    if not SPAN_LEAST <= sample.span_ns <= SPAN_MOST or not 0.0 <= sample.counted <= 1.0:
+    if not SPAN_LEAST <= sample.span_ns / slot_ns <= SPAN_MOST or not 0.0 <= sample.counted <= 1.0:
         return Unusable.IMPOSSIBLE
     if abs(sample.at - now) > SKEW_MOST:
         return Unusable.SKEWED
--- a/ambershift/settings/model.py
+++ b/ambershift/settings/model.py
@@ -20,6 +20,7 @@
 
 from ambershift.settings.checks import Complaint, duration, split, taken
 from ambershift.settings.group import Group, check_group
+from ambershift.settings.interference import Interference, check_interference
 from ambershift.settings.maintenance import (
     Blocks,
     MaintenanceBlock,
@@ -68,6 +69,7 @@
     runtime: Runtime = Runtime()
     log: Log = Log()
     group: Group | msgspec.UnsetType = msgspec.UNSET
+    interference: Interference | msgspec.UnsetType = msgspec.UNSET
     tenant: tuple[TenantBlock, ...] = ()
     window: tuple[WindowBlock, ...] = ()
     work: tuple[WorkBlock, ...] = ()
@@ -131,7 +133,7 @@
     for name, value in block.values.items():
         found[name], lines[where + name] = value.plain, value.line
     for name, blocks in block.blocks.items():
-        label = LABELLED.get(where + name)
+        label = LABELLED.get(re.sub(r"\[[0-9]+\]", "", where + name))
         if label is None and (len(blocks) > 1 or blocks[0].labels):
             last = blocks[-1]
             what = "takes no label" if last.labels else "stands here a second time"
@@ -176,3 +178,5 @@
         host, port = split(root.group.listen, "group.listen", complain)
         taken(places, f"{host}:{port}", "group.listen", complain)
     check_maintenance(root.blocks, isinstance(root.group, Group), complain)
+    if isinstance(root.interference, Interference):
+        check_interference(root.interference, complain)
