--- a/ambershift/maintenance/board.py
+++ b/ambershift/maintenance/board.py
@@ -54,8 +54,8 @@
 class Spans:
     """When all tenants of a server let maintenance be, from two days back to as far as is looked ahead."""
 
-    def __init__(self, at: int, limits: Limits) -> None:
-        self.since, self.until = at - 2 * DAY, at + limits.ahead
+    def __init__(self, at: int, ahead: int) -> None:
+        self.since, self.until = at - 2 * DAY, at + ahead
         self.known = dict[tuple[str, ...], list[Span]]()
 
     def of(self, tenants: tuple[Tenant, ...]) -> list[Span]:
--- a/ambershift/maintenance/waves.py
+++ b/ambershift/maintenance/waves.py
@@ -61,7 +61,7 @@
         spans: Spans | None = None) -> Plan:
     """`jobs` are a work, a server and the time before which it is not tried; `drains` when each tenant last
     had a server drained."""
-    spans, jobs = spans or Spans(at, limits), list(jobs)
+    spans, jobs = spans or Spans(at, limits.ahead), list(jobs)
     unlaid = [Unlaid(work.name, server, Binds(Refusal.NO_SUCH_SERVER), 0)
               for work, server, _ in jobs if server not in servers]
     there = [job for job in jobs if job[1] in servers]
--- a/ambershift/promises/steward.py
+++ b/ambershift/promises/steward.py
@@ -16,6 +16,7 @@
 from ambershift.maintenance.limits import MINUTE, SECOND, Limits
 from ambershift.maintenance.permits import Heard, all_drained, all_let_in, clock_apart, is_back
 from ambershift.maintenance.waves import Open, Plan, lay
+from ambershift.maintenance.windows import DAY
 from ambershift.maintenance.words import Permit, Phase, Standing, Trouble, Work
 from ambershift.promises.rows import Row, permit_rows, plan_rows, stopped_row
 from ambershift.promises.state import NOTHING_DECLARED, Held, Promises
@@ -23,6 +24,7 @@
 
 SEND_AGAIN = 3 * SECOND  # A command that is lost is sent again; it stands once, whatever comes of it.
 GRANT_EVERY = SECOND  # Who may go next is looked for so often, as each look goes through the whole fleet.
+DAYS_AHEAD = 3 * DAY  # To know what fits now; the plan looks further, for whoever asks for it.
 DRAIN_MOST = 4  # Times as long as drains should take; then something is wrong with it.
 
 
@@ -40,7 +42,7 @@
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.sent = dict[str, tuple[int, int]]()  # By permit, "" for grants: what it stood on, and when.
-        self.spans, self.spans_of = Spans(0, limits), NOTHING_DECLARED
+        self.spans, self.spans_of = Spans(0, DAYS_AHEAD), NOTHING_DECLARED
         self.granted_at, self.granted_on = -GRANT_EVERY, -1
         self.planned: tuple[int, int, list[Row]] | None = None
         self.drains: dict[str, tuple[int, int]] | None = None  # As granted, and as seen.
@@ -59,7 +61,7 @@
         if self.apart or not own:
             return []  # Every member lets in what ends by its own clock; nothing depends on us here.
         if not self.spans.fresh(at) or self.spans_of != state.declared:
-            self.spans, self.spans_of = Spans(at, self.limits), state.declared
+            self.spans, self.spans_of = Spans(at, DAYS_AHEAD), state.declared
         works = {work.name: work for work in state.declared.works}
         recalled = self.recalled(at, state, servers)
         moves = list[tuple[Held, Move]]()
@@ -200,10 +202,7 @@
         """What would come from here on if nothing failed, by what the last look saw."""
         at, servers, _ = self.seen
         out = [Open(held.permit, self.back(held.permit, servers, at)) for held in state.permits.values()]
-        if self.spans_of != state.declared:
-            self.spans, self.spans_of = Spans(at, self.limits), state.declared
-        return lay(state.declared, self.jobs(state), out, dict(state.drains), servers, at, self.limits,
-                   self.spans)
+        return lay(state.declared, self.jobs(state), out, dict(state.drains), servers, at, self.limits)
 
     def rows(self, state: Promises, now: int) -> list[Row]:
         """For `show maintenance`, at any member; what comes next is known only where `due` looks, and worked
