--- /dev/null
+++ b/tests/test_steward.py
@@ -0,0 +1,258 @@
+"""The steward at one moment after the other: each case sets what the leader hears, and looks at what it
+does."""
+
+from datetime import UTC, datetime
+
+import pytest
+
+from ambershift.maintenance.limits import Limits
+from ambershift.maintenance.permits import Heard, Steers
+from ambershift.maintenance.words import (
+    Agreement,
+    Declared,
+    Phase,
+    Refusal,
+    Standing,
+    Tenant,
+    Trouble,
+    Window,
+    Work,
+)
+from ambershift.promises.answers import Outcome, encode, read_answer
+from ambershift.promises.machine import PromisesMachine
+from ambershift.promises.state import EMPTY
+from ambershift.promises.steward import Steward
+from ambershift.promises.words import Command, Declare, Grant, Move
+from ambershift.replication.words import Entry
+
+S = 1_000_000_000
+M = 60 * S
+OPENS = int(datetime(2026, 12, 2, 1, 0, tzinfo=UTC).timestamp()) * S
+LIMITS = Limits(clock_bound=S, drain=M, warm=15 * S, silent=30 * S, again=30 * M, missing=5 * M)
+FOUR = {name: Standing(name, "z", 1.0, None, 0) for name in "abcd"}
+AGREED = Agreement(2.0, 1, 0, ())
+
+
+class Leader:
+    """One that leads from `at` on, with an hour that opens at OPENS."""
+
+    def __init__(self, at: int, agreement: Agreement = AGREED, takes: int = 5 * M,
+                 before: int = OPENS + 30 * 3600 * S, length: int = 60 * M, at_once: int = 0) -> None:
+        tenant = Tenant("t", (), (), (), agreement, (
+            Window("w", "FREQ=DAILY", "2026-12-01T01:00:00", length, "UTC"),))
+        self.declared = Declared(1, (tenant,), (Work("k", tuple("abc"), takes, before, at_once),))
+        self.machine, self.state, self.number = PromisesMachine(), EMPTY, 0
+        self.at, self.steward, self.servers = at, Steward(LIMITS), dict(FOUR)
+        self.steers = {"n1": Steers(5, 0, 0), "n2": Steers(5, 0, 0)}
+        self.drained, self.let_in = set[str](), set[str]()
+        self.put(Declare(self.declared))
+
+    def put(self, command: Command) -> Outcome:
+        self.number += 1
+        self.state, answer = self.machine.apply(self.state, Entry(1, self.number, self.at, "",
+                                                                  encode(command)))
+        return read_answer(answer)
+
+    def look(self, later: int = 0) -> list[Command]:
+        self.at += later
+        ids = list(self.state.permits)
+        return self.steward.due(self.at, self.at, self.state, self.servers, Heard(
+            ("n1", "n2"), self.steers, {one: self.drained for one in ids},
+            {one: self.let_in for one in ids}))
+
+    def go(self, later: int = 0) -> list[Command]:
+        found = self.look(later)
+        for command in found:
+            assert self.put(command).done
+        return found
+
+    @property
+    def phases(self) -> dict[str, str]:
+        return {held.permit.server: held.permit.phase.name.lower() for held in self.state.permits.values()}
+
+    @property
+    def bound(self) -> set[str]:
+        return {row.reason for row in self.steward.rows(self.state, self.at) if row.reason}
+
+
+def test_one_server_from_its_permit_to_its_end_and_the_next() -> None:
+    leader = Leader(OPENS + 2 * S)
+    assert leader.go() and leader.phases == {"a": "draining"} and not leader.look(2 * S)
+    leader.drained = {"n1"}
+    assert not leader.go(2 * S)  # The other has not drained it yet.
+    leader.drained = {"n1", "n2"}
+    (move,) = leader.go(6 * S)
+    assert move == Move(2, "k/a/1", Phase.OUT, leader.at + 5 * M)
+    assert not leader.go(5 * M - S) and leader.go(S) and leader.phases == {"a": "returning"}
+    assert not leader.go(S)
+    leader.let_in = {"n1", "n2"}
+    leader.servers["a"] = Standing("a", "z", 1.0, Trouble.COLD, leader.at + 15 * S)
+    assert not leader.go(S)  # It is in, and cold: it counts as out, so that no other goes.
+    leader.servers["a"] = FOUR["a"]
+    assert leader.go(15 * S) and not leader.phases and leader.state.past["k", "a"].done
+    assert leader.go(S) and leader.phases == {"b": "draining"}
+
+
+@pytest.mark.parametrize(("at", "granted"), [
+    (-10 * S, 0), (S // 2, 0), (2 * S, 1), (53 * M, 1), (53 * M + 41 * S, 1), (53 * M + 43 * S, 0),
+    (61 * M, 0)])
+def test_a_wave_is_granted_only_where_drain_work_and_warming_fit(at: int, granted: int) -> None:
+    """An opening of an hour; 1 min drain, 5 min work, 15 s warm, bounds of 1 s: three of them."""
+    assert len(Leader(OPENS + at).look()) == granted
+
+
+@pytest.mark.parametrize(("agreement", "servers", "reason"), [
+    (Agreement(3.5, 9, 0, ()), {}, "capacity"), (Agreement(2.0, 1, 0, ()), {"d": Trouble.ILL}, "out-most"),
+    (Agreement(2.0, 1, 0, ()), {"d": Trouble.CUT}, "out-most"),
+    (Agreement(2.0, 1, 0, ()), {"d": Trouble.UNKNOWN}, "out-most"),
+    (Agreement(2.0, 1, 0, ()), {"d": Trouble.WISHED_OUT}, "out-most"),
+    (Agreement(2.0, 1, 0, ()), {"d": Trouble.LISTED_OUT}, ""),
+    (Agreement(3.0, 1, 0, ()), {"d": Trouble.LISTED_OUT}, "capacity"),
+    (Agreement(2.0, 1, 0, ("2026-12-02", "2026-12-03")), {}, "closed-day")])
+def test_no_wave_against_an_agreement(agreement: Agreement, servers: dict[str, Trouble], reason: str) -> None:
+    leader = Leader(OPENS + M, agreement)
+    for name, trouble in servers.items():
+        leader.servers[name] = Standing(name, "z", 1.0, trouble, 0)
+    assert bool(leader.look()) == (reason == "")
+    assert not reason or reason in leader.bound
+
+
+def test_a_cold_server_and_an_interfered_one_are_no_room() -> None:
+    leader = Leader(OPENS + M, Agreement(3.0, 2, 0, ()))
+    leader.servers["d"] = Standing("d", "z", 1.0, Trouble.COLD, leader.at + 10 * S)
+    assert not leader.look()
+    leader.servers["d"] = Standing("d", "z", 1.0, None, 0, 0.1)
+    assert not leader.look(2 * S)
+    leader.servers = dict(FOUR)
+    assert leader.look(2 * S)
+
+
+def test_the_worst_interfered_goes_first_and_apart_drains_one_by_one() -> None:
+    leader = Leader(OPENS + M, Agreement(1.0, 3, 10 * M, ()))
+    leader.servers["b"] = Standing("b", "z", 1.0, None, 0, 0.3)
+    leader.go()
+    assert leader.phases == {"b": "draining"}
+    leader.drained = {"n1", "n2"}
+    assert not any(isinstance(one, Grant) for _ in range(60) for one in leader.go(10 * S))
+    assert not leader.phases
+    leader.go(3 * S)
+    assert leader.phases == {"a": "draining"}
+
+
+def test_a_slow_drain_gets_more_time_while_it_fits_and_not_for_ever() -> None:
+    leader = Leader(OPENS + 2 * S)
+    leader.go()
+    ends = leader.state.permits["k/a/1"].permit.ends
+    leader.drained = {"n2"}
+    renewed = [at for at in range(40) if leader.go(10 * S) and leader.phases == {"a": "draining"}]
+    assert renewed and leader.state.past["k", "a"].tries == 1
+    assert ends + 3 * M <= leader.state.permits["k/a/1"].permit.ends <= ends + 4 * M
+    assert leader.phases == {"a": "returning"}  # After four times what a drain should take.
+    late = Leader(OPENS + 53 * M + 40 * S)
+    assert late.go()
+    assert [late.go(at * S) for at in (59, 3)][1] and late.phases == {"a": "returning"}
+
+
+def test_a_member_that_is_silent_is_not_waited_for_to_drain_but_is_until_it_can_hold_nothing() -> None:
+    leader = Leader(OPENS + 2 * S)
+    leader.go()
+    leader.drained, leader.let_in = {"n1"}, {"n1"}
+    leader.steers["n2"] = Steers(5, 0, 29 * S)
+    assert not leader.go(5 * S)
+    leader.steers["n2"] = Steers(5, 0, 31 * S)
+    assert leader.go(2 * S) and leader.phases == {"a": "out"}
+    ends = leader.state.permits["k/a/1"].permit.ends
+    assert leader.go(ends - leader.at) and leader.phases == {"a": "returning"}
+    assert not leader.go(S)  # By the clock of the silent one it may be out still.
+    assert leader.go(S) and not leader.phases
+
+
+def test_what_does_not_come_back_is_closed_and_counts_as_ill() -> None:
+    leader = Leader(OPENS + 2 * S, Agreement(2.0, 1, 0, ()))
+    leader.go()
+    leader.drained = leader.let_in = {"n1", "n2"}
+    leader.go(S)
+    leader.servers["a"] = Standing("a", "z", 1.0, Trouble.ILL, 0)
+    leader.go(5 * M)
+    assert leader.phases == {"a": "returning"} and not leader.go(5 * M)
+    assert leader.go(20 * S) and not leader.phases
+    assert not leader.go(2 * S) and "out-most" in leader.bound
+
+
+@pytest.mark.parametrize("phase", [Phase.DRAINING, Phase.OUT])
+def test_a_server_that_the_list_loses_in_mid_wave_counts_to_the_end_of_its_permit(phase: Phase) -> None:
+    leader = Leader(OPENS + 2 * S)
+    leader.go()
+    if phase is Phase.OUT:
+        leader.drained = {"n1", "n2"}
+        leader.go(S)
+    del leader.servers["a"]
+    leader.servers["new"] = Standing("new", "z", 1.0, None, 0)
+    assert not any(isinstance(one, Grant) for _ in range(5) for one in leader.go(2 * S))
+    leader.drained = leader.let_in = {"n1", "n2"}
+    for _ in range(400):
+        leader.go(3 * S)
+        assert len(leader.phases) <= 1
+    assert leader.state.past["k", "a"].done and leader.state.past["k", "b"].done
+    assert "no-such-server" not in leader.bound  # It is done; nobody asks for it again.
+
+
+def test_a_fault_calls_back_the_drain_that_helps_most_and_no_more() -> None:
+    leader = Leader(OPENS + 2 * S, Agreement(2.0, 3, 0, ()))
+    leader.servers["b"] = Standing("b", "z", 1.5, None, 0)
+    leader.go()
+    assert leader.phases == {"a": "draining", "b": "draining"}
+    leader.servers["d"] = Standing("d", "z", 1.0, Trouble.ILL, 0)
+    (move,) = leader.go(S)
+    assert isinstance(move, Move) and move.permit == "k/b/1" and move.phase is Phase.RETURNING
+    leader.let_in = {"n1", "n2"}
+    for _ in range(20):
+        leader.go(2 * S)
+    assert leader.phases == {"a": "draining"} and leader.state.past["k", "b"] == (1, False, OPENS + 2 * S)
+    # A new leader that has heard of nobody yet calls nothing back, and grants nothing.
+    leader.steward = Steward(LIMITS)
+    leader.servers = {name: Standing(name, "z", 1.0, Trouble.UNKNOWN, 0) for name in "abcd"}
+    assert not leader.go(2 * S)
+    leader.servers = dict(FOUR)
+    for _ in range(120):
+        leader.go(10 * S)  # It is tried again, but not within the half hour.
+    assert leader.state.past["k", "b"].tries == 1
+    leader.steward = Steward(LIMITS)
+    for _ in range(120):
+        leader.go(10 * S)
+    assert leader.state.past["k", "b"].tries == 2
+
+
+def test_work_that_is_declared_away_gives_its_servers_back() -> None:
+    leader = Leader(OPENS + 2 * S)
+    leader.go()
+    leader.drained = leader.let_in = {"n1", "n2"}
+    leader.go(S)
+    assert leader.put(Declare(Declared(2, leader.declared.tenants, ()))).done
+    assert leader.go(S) and leader.phases == {"a": "returning"}
+    assert leader.go(S) and not leader.phases and not len(leader.state.past) and not leader.go(S)
+
+
+def test_a_lost_command_is_sent_again_and_a_leader_apart_sends_none() -> None:
+    leader = Leader(OPENS + 2 * S)
+    (first,) = leader.look()
+    assert not leader.look(2 * S)
+    (again,) = leader.look(2 * S)
+    assert leader.put(first).done and leader.put(again).reason == Refusal.CHANGED_MEANWHILE
+    leader.steers["n2"] = Steers(5, 9 * S, 0)
+    leader.drained = {"n1", "n2"}
+    assert not leader.look(9 * M) and leader.bound == {"clock-apart"}
+    leader.steers["n3"] = Steers(0, 0, 0)  # With a third the middle is ours.
+    assert leader.look(S)
+
+
+def test_an_operators_word_ends_the_wait_for_a_server_to_warm() -> None:
+    leader = Leader(OPENS + 2 * S)
+    leader.go()
+    leader.drained = leader.let_in = {"n1", "n2"}
+    leader.go(S)
+    leader.servers["a"] = Standing("a", "z", 1.0, Trouble.WISHED_OUT, 0)
+    assert not leader.go(M) and leader.phases == {"a": "out"}  # The permit holds, whatever else is said.
+    leader.go(4 * M)
+    assert leader.go(S) and not leader.phases
+    assert not leader.go(2 * S)  # It is out by the operator now, and counts so.
