--- a/ambershift/promises/steward.py
+++ b/ambershift/promises/steward.py
@@ -62,6 +62,7 @@
             return []  # Every member lets in what ends by its own clock; nothing depends on us here.
         if not self.spans.fresh(at) or self.spans_of != state.declared:
             self.spans, self.spans_of = Spans(at, DAYS_AHEAD), state.declared
+        self.drains = self.drains_seen(at, state)
         works = {work.name: work for work in state.declared.works}
         recalled = self.recalled(at, state, servers)
         moves = list[tuple[Held, Move]]()
@@ -164,24 +165,22 @@
         for held in state.permits.values():
             room.take(held.permit.server, held.permit)
             out_of[held.permit.work] = out_of.get(held.permit.work, 0) + 1
-        board = Board(room, self.drains_seen(at, state), out_of, limits)
+        board = Board(room, {name: seen for name, (_, seen) in (self.drains or {}).items()}, out_of, limits)
         chosen = board.pick(at, make_groups(declared, jobs, servers, at, self.spans, limits))
         return tuple(
             Permit(f"{job.work.name}/{job.server}/{self.tries(state, job.work.name, job.server) + 1}",
                    job.work.name, job.server, Phase.DRAINING, at, at + limits.drain + job.work.takes_ns,
                    room.users_of(job.server), servers[job.server].weight) for job in chosen)
 
-    def drains_seen(self, at: int, state: Promises) -> dict[str, int]:
-        """When each tenant last had a server drained. A grant may lie in the log for long before it is
-        committed, so that the drain counts from when we saw it stand; a new leader counts it from its own
-        beginning where the server still is out."""
-        fresh = self.drains is None
-        known = self.drains or {}
+    def drains_seen(self, at: int, state: Promises) -> dict[str, tuple[int, int]]:
+        """When each tenant last had a server drained, as granted and as seen. A grant may lie in the log for
+        long before it is committed, so that the drain counts from when we saw it stand; a new leader counts
+        it from its own beginning where the server still is out."""
+        fresh, known = self.drains is None, self.drains or {}
         out = {name for held in state.permits.values() for name in held.permit.tenants}
-        self.drains = {name: known[name] if name in known and known[name][0] == granted else
-                       (granted, max(at, granted) if not fresh or name in out else granted)
-                       for name, granted in state.drains.items()}
-        return {name: seen for name, (_, seen) in self.drains.items()}
+        return {name: known[name] if name in known and known[name][0] == granted else
+                (granted, max(at, granted) if not fresh or name in out else granted)
+                for name, granted in state.drains.items()}
 
     def tries(self, state: Promises, work: str, server: str) -> int:
         past = state.past.get((work, server))
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -133,6 +133,7 @@
     leader.go()
     assert leader.phases == {"b": "draining"}
     leader.drained = {"n1", "n2"}
+    leader.go(S)  # It counts from here on: now it is seen to stand.
     assert not any(isinstance(one, Grant) for _ in range(60) for one in leader.go(10 * S))
     assert not leader.phases
     leader.go(3 * S)
