--- a/ambershift/promises/steward.py
+++ b/ambershift/promises/steward.py
@@ -16,6 +16,7 @@
 from ambershift.maintenance.limits import MINUTE, SECOND, Limits
 from ambershift.maintenance.permits import Heard, all_drained, all_let_in, clock_apart, is_back
 from ambershift.maintenance.waves import Open, Plan, lay
+from ambershift.maintenance.windows import DAY
 from ambershift.maintenance.words import Permit, Phase, Standing, Trouble, Work
 from ambershift.promises.rows import Row, permit_rows, plan_rows, stopped_row
 from ambershift.promises.state import NOTHING_DECLARED, Held, Promises
@@ -23,6 +24,7 @@
 
 SEND_AGAIN = 3 * SECOND  # A command that is lost is sent again; it stands once, whatever comes of it.
 GRANT_EVERY = SECOND  # Who may go next is looked for so often, as each look goes through the whole fleet.
+DAYS_AHEAD = 3 * DAY  # To know what fits now; the plan looks further, for whoever asks for it.
 DRAIN_MOST = 4  # Times as long as drains should take; then something is wrong with it.
 
 
@@ -40,7 +42,7 @@
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.sent = dict[str, tuple[int, int]]()  # By permit, "" for grants: what it stood on, and when.
-        self.spans, self.spans_of = Spans(0, limits), NOTHING_DECLARED
+        self.spans, self.spans_of = Spans(0, DAYS_AHEAD), NOTHING_DECLARED
         self.granted_at, self.granted_on = -GRANT_EVERY, -1
         self.planned: tuple[int, int, list[Row]] | None = None
         self.drains: dict[str, tuple[int, int]] | None = None  # As granted, and as seen.
@@ -59,7 +61,8 @@
         if self.apart or not own:
             return []  # Every member lets in what ends by its own clock; nothing depends on us here.
         if not self.spans.fresh(at) or self.spans_of != state.declared:
-            self.spans, self.spans_of = Spans(at, self.limits), state.declared
+            self.spans, self.spans_of = Spans(at, DAYS_AHEAD), state.declared
+        self.drains = self.drains_seen(at, state)
         works = {work.name: work for work in state.declared.works}
         recalled = self.recalled(at, state, servers)
         moves = list[tuple[Held, Move]]()
@@ -92,7 +95,7 @@
         permit, limits, on = held.permit, self.limits, state.permits_touched
         standing = servers.get(permit.server)
         if permit.phase is Phase.RETURNING:
-            if is_back(permit, standing, limits, at) and all_let_in(permit, heard, limits, at):
+            if is_back(permit, standing, limits, at, held.done) and all_let_in(permit, heard, limits, at):
                 return Move(on, permit.id, Phase.CLOSED, permit.ends, held.done)
             return None
         returning = Move(on, permit.id, Phase.RETURNING, permit.ends)
@@ -162,24 +165,22 @@
         for held in state.permits.values():
             room.take(held.permit.server, held.permit)
             out_of[held.permit.work] = out_of.get(held.permit.work, 0) + 1
-        board = Board(room, self.drains_seen(at, state), out_of, limits)
+        board = Board(room, {name: seen for name, (_, seen) in (self.drains or {}).items()}, out_of, limits)
         chosen = board.pick(at, make_groups(declared, jobs, servers, at, self.spans, limits))
         return tuple(
             Permit(f"{job.work.name}/{job.server}/{self.tries(state, job.work.name, job.server) + 1}",
                    job.work.name, job.server, Phase.DRAINING, at, at + limits.drain + job.work.takes_ns,
                    room.users_of(job.server), servers[job.server].weight) for job in chosen)
 
-    def drains_seen(self, at: int, state: Promises) -> dict[str, int]:
-        """When each tenant last had a server drained. A grant may lie in the log for long before it is
-        committed, so that the drain counts from when we saw it stand; a new leader counts it from its own
-        beginning where the server still is out."""
-        fresh = self.drains is None
-        known = self.drains or {}
+    def drains_seen(self, at: int, state: Promises) -> dict[str, tuple[int, int]]:
+        """When each tenant last had a server drained, as granted and as seen. A grant may lie in the log for
+        long before it is committed, so that the drain counts from when we saw it stand; a new leader counts
+        it from its own beginning where the server still is out."""
+        fresh, known = self.drains is None, self.drains or {}
         out = {name for held in state.permits.values() for name in held.permit.tenants}
-        self.drains = {name: known[name] if name in known and known[name][0] == granted else
-                       (granted, max(at, granted) if not fresh or name in out else granted)
-                       for name, granted in state.drains.items()}
-        return {name: seen for name, (_, seen) in self.drains.items()}
+        return {name: known[name] if name in known and known[name][0] == granted else
+                (granted, max(at, granted) if not fresh or name in out else granted)
+                for name, granted in state.drains.items()}
 
     def tries(self, state: Promises, work: str, server: str) -> int:
         past = state.past.get((work, server))
@@ -200,10 +201,7 @@
         """What would come from here on if nothing failed, by what the last look saw."""
         at, servers, _ = self.seen
         out = [Open(held.permit, self.back(held.permit, servers, at)) for held in state.permits.values()]
-        if self.spans_of != state.declared:
-            self.spans, self.spans_of = Spans(at, self.limits), state.declared
-        return lay(state.declared, self.jobs(state), out, dict(state.drains), servers, at, self.limits,
-                   self.spans)
+        return lay(state.declared, self.jobs(state), out, dict(state.drains), servers, at, self.limits)
 
     def rows(self, state: Promises, now: int) -> list[Row]:
         """For `show maintenance`, at any member; what comes next is known only where `due` looks, and worked
