--- a/ambershift/standins/rig.py
+++ b/ambershift/standins/rig.py
@@ -140,6 +140,25 @@
             clone.put_back(real.keep_copy("cloned"))
         return clone
 
+    def restart_server(self, server: str) -> None:
+        """The work at a server is done: it starts anew, cold, and discovery tells so."""
+        entry = next(one for one in self.discovery.now["servers"] if one["id"] == server)
+        self.fleet.servers[server].started = self.now()
+        self.discovery.change({**entry, "started_ms": round(time.time() * 1e3)})
+
+    async def work(self, servers: Sequence[str], takes: float) -> None:
+        """Somebody works at each of these once no proxy sends there, for so long; until cancelled."""
+        since = dict[str, float]()
+        left = list(servers)
+        while left:
+            await asyncio.sleep(0.05)
+            for name in list(left):
+                if not self.fleet.unused(name):
+                    since.pop(name, None)
+                elif self.now() >= since.setdefault(name, self.now()) + takes:
+                    left.remove(name)
+                    self.restart_server(name)
+
     def spread(self) -> None:
         """The proxies in turn over all that run, as they were at the beginning."""
         names = self.running()
