--- a/ambershift/group/member.py
+++ b/ambershift/group/member.py
@@ -36,6 +36,7 @@
         self.spec, self.machine, self.at_desk, self.now, self.note = spec, machine, at_desk, now, note
         self.seed = seed
         self.members = frozenset((*spec.voters, *spec.copies))
+        self.heard_at = dict[str, int]()  # The last word of each, of whatever kind.
         self.links = Links(spec.listen, spec.peers, self, note, seed)
         self.replica: Replica | None = None
         self.life = Life(0, None, None, "")
@@ -118,6 +119,7 @@
     def heard(self, sender: str, kind: Kind, payload: bytes) -> None:
         if self.halted or self.stopping or self.replica is None:
             return
+        self.heard_at[sender] = self.now()
         if kind is Kind.HEARD:
             self.gossip.hear(sender, payload)
             return
--- a/ambershift/group/rows.py
+++ b/ambershift/group/rows.py
@@ -23,10 +23,11 @@
     names = (*member.spec.voters, *member.spec.copies)
     made = []
     for name in names:
-        row, own = rows.get(name), name == me
-        here = own or row is not None and 0 <= row.heard_ns < AWAY
+        row, own, at = rows.get(name), name == me, member.heard_at.get(name)
+        age = -1 if at is None else member.now() - at
+        here = own or 0 <= age < AWAY
         state, why = row.status if row is not None else "unknown", ""
-        if not here and row is not None and row.heard_ns >= 0:
+        if not here and age >= 0:
             state = "away"
         if own and halted is not None:
             state, why = "halted", f"{halted[0]}: {halted[1]}"
@@ -35,7 +36,7 @@
             "votes": name in member.spec.voters,
             "incarnation": member.life.incarnation if own else row.incarnation if row else 0,
             "committed": (replica.committed if replica else 0) if own else row.committed if row else 0,
-            "heard_ms": row.heard_ns // MS if row and not own and row.heard_ns >= 0 else -1,
+            "heard_ms": -1 if own or age < 0 else age // MS,
             "link": "-" if own else member.links.tally.ways.get(name, "") or "up", "why": why})
     return made
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import shutil
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -29,7 +30,9 @@
 from ambershift.replication.words import Reason as Why
 from ambershift.settings.model import read_text
 from ambershift.settings.tree import SettingsError
+from ambershift.standins.processes import Member as Process
 from ambershift.standins.rig import Rig
+from ambershift.standins.world import until
 
 READY, DRAIN, MAINT = State.READY, State.DRAIN, State.MAINT
 
@@ -460,3 +463,31 @@
             assert {row["name"]: row["link"] for row in rows if row["name"] in (gone, rest[0])} == {
                 gone: "away", rest[0]: "away"}
     asyncio.run(play())
+
+
+def test_a_clone_is_told_by_name_and_the_newer_one_is_the_member(place: Path) -> None:
+    async def play() -> None:
+        async with Rig(place, 3) as rig:
+            await rig.settled()
+            one = rig.members["n2"]
+            listens = {**one.configuration, "listen": f"{rig.host}:7399"}
+            clone = Process("n2", place / "clone", listens, one.group.replace(":7101", ":7999"), "", True)
+            assert clone.folder
+            shutil.copytree(one.keep_copy("copy"), clone.folder)
+            await clone.start()
+            try:
+                await until(lambda: one.logged("group_halted"), 30)
+                assert one.logged("group_halted")[0]["reason"] == "superseded"
+                rows = {row["name"]: row for row in await rig.rows("n2", "show group json")}
+                assert rows["n2"]["state"] == "halted" and rows["n1"]["link"] == "superseded"
+                alone = await rig.say("n2", "disable server east/s-0")
+                assert alone.text.startswith("Refused (no-majority)") and "(superseded)" in alone.text
+                await rig.tell("n1", "disable server east/s-0")  # The rest goes on.
+            finally:
+                await clone.kill()
+            await one.kill()
+            await one.start()
+            await rig.settled()  # Newer than both.
+            rows = await rig.rows("n2", "show standing json")
+            assert [row["server"] for row in rows] == ["east/s-0"]
+    asyncio.run(play())
