--- a/ambershift/interference/engine.py
+++ b/ambershift/interference/engine.py
@@ -12,9 +12,10 @@
 from typing import NamedTuple
 
 from ambershift.interference import records
+from ambershift.interference.held import Held
 from ambershift.interference.node import SLOT_NS, Node
-from ambershift.interference.normal import Normal, Sketch, liars, normal
-from ambershift.interference.pooled import lost, median, pairs, scores
+from ambershift.interference.normal import liars
+from ambershift.interference.pooled import lost, pairs, scores
 from ambershift.interference.records import Baseline, Evidence, Put, UnreadableError
 from ambershift.interference.sift import judge
 from ambershift.interference.words import Sample, Score, Unusable
@@ -60,13 +61,9 @@
         self.taken = 0
         self.next_at = 0
         self._nodes = dict[str, Node]()
-        self._evidence = dict[tuple[str, str], Evidence]()  # By origin and key.
-        self._baselines = dict[str, dict[str, Baseline]]()  # By key and origin.
-        self._held = 0  # Baselines, of all origins.
-        self._pools = dict[tuple[str, str], dict[str, Sketch]]()
-        self._normals = dict[tuple[str, str], Normal | None]()
+        self._held = Held(self.bounds.heard, slot_ns, self.unusable)
         self._given = dict[tuple[Kind, str], bytes]()
-        self._stale, self._scored_at = True, 0
+        self._scored_at = 0
         self._scores = list[Score]()
         self._liars = frozenset[str]()
         self._current = dict[str, Evidence]()  # By job, the newest of nodes that don't lie.
@@ -105,67 +102,17 @@
         if record.kind not in (Kind.MET, Kind.BASELINE) or record.origin == self.me:
             return
         try:
-            self._hold(record.origin, Kind(record.kind), record.key, record.body)
+            self._held.hold(record.origin, Kind(record.kind), record.key, record.body)
         except UnreadableError:
             self.unusable["unreadable-record"] += 1
-            self._hold(record.origin, Kind(record.kind), record.key, b"")
-
-    def _hold(self, origin: str, kind: Kind, key: str, body: bytes) -> None:
-        place, self._stale = (origin, key), True
-        if kind is Kind.MET:
-            if not body:
-                self._evidence.pop(place, None)
-            elif place in self._evidence or len(self._evidence) < self.bounds.heard:
-                self._evidence[place] = records.read_evidence(key, body)
-            else:
-                self.unusable["too-many"] += 1
-            return
-        found = records.read_baseline(key, body) if body else None
-        told = self._baselines.setdefault(key, {})
-        one = told.pop(origin, None)
-        self._held -= one is not None
-        if found is not None and self._held >= self.bounds.heard:
-            self.unusable["too-many"] += 1
-        elif found is not None:
-            one = told[origin] = found
-            self._held += 1
-        if not told:
-            del self._baselines[key]
-        if one is not None:
-            self._repool(one, told)
-
-    def _repool(self, one: Baseline, told: Mapping[str, Baseline]) -> None:
-        """The newest sketch of this node, of whatever origin."""
-        place = one.kind, one.group
-        pool = self._pools.setdefault(place, {})
-        self._normals.pop(place, None)
-        if told:
-            pool[one.node] = max(each.sketch for each in told.values())
-        else:
-            pool.pop(one.node, None)
-        if not pool:
-            del self._pools[place]
-
-    def now_of_all(self) -> int:
-        """The middle of the members' newest evidence: what counts as old is the same for all."""
-        newest = dict[str, int]()
-        for (origin, _), one in self._evidence.items():
-            newest[origin] = max(newest.get(origin, 0), one.at)
-        return int(median(newest.values())) if newest else 0
-
-    def _normal(self, kind: str, group: str) -> Normal | None:
-        if (kind, group) not in self._normals:
-            pool = self._pools.get((kind, group), {})
-            newest = max((one.at for one in pool.values()), default=0)
-            self._normals[kind, group] = normal(pool, newest, self._liars, self.slot_ns)
-        return self._normals[kind, group]
+            self._held.hold(record.origin, Kind(record.kind), record.key, b"")
 
     def due(self, now: int) -> list[Put]:
         """What changed and should be given out. Call it again at `next_at`; each call is short."""
         made = list[Put]()
         ripe = [node for node in self._nodes.values() if node.ripe(now)]
         for node in ripe[:SLICE]:
-            block = node.look(now, self._normal)
+            block = node.look(now, self._held.normal)
             self.unusable[Unusable.ALL_SLOW.value] += block.all_slow
             made += self._give(node, block.evidence)
         if not ripe:
@@ -194,7 +141,7 @@
             self._given[put.kind, put.key] = put.body
         else:
             self._given.pop((put.kind, put.key), None)
-        self._hold(self.me, put.kind, put.key, put.body)
+        self._held.hold(self.me, put.kind, put.key, put.body)
 
     def _forget(self, now: int) -> list[Put]:
         """Jobs and nodes that are silent for long are taken back."""
@@ -215,16 +162,14 @@
 
     def refresh(self) -> None:
         """Work the scores out of all that is held. `due` does it by itself; what reads never waits for it."""
-        if not self._stale:
+        if not self._held.changed:
             return
-        self._stale = False
-        now = self.now_of_all()
-        found = liars(self._pools)
-        if found != self._liars:
-            self._liars = found
-            self._normals.clear()
+        self._held.changed = False
+        now = self._held.now()
+        self._liars = found = liars(self._held.pools)
+        self._held.leave_out(found)
         newest = dict[tuple[str, str], Evidence]()
-        for _, one in sorted(self._evidence.items(), key=lambda item: item[0]):
+        for _, one in sorted(self._held.evidence.items(), key=lambda item: item[0]):
             place = one.node, one.job
             if now - one.at <= OLD * self.slot_ns and (place not in newest or one.at > newest[place].at):
                 newest[place] = one
@@ -270,7 +215,7 @@
         made.sort(key=lambda row: (not row.accused, row.victim, row.suspect))
         scored = {row.victim for row in made}
         reasons = {(one.group, one.reason) for one in self._current.values() if one.reason}
-        reasons |= {(one.group, Unusable.NODE_LIES.value) for one in self._evidence.values()
+        reasons |= {(one.group, Unusable.NODE_LIES.value) for one in self._held.evidence.values()
                     if one.node in self._liars}
         made += [Row(group, "-", 0.0, 0.0, 0.0, 1.0, 0, suffering[group], False, reason)
                  for group, reason in sorted(reasons)
--- a/ambershift/interference/node.py
+++ b/ambershift/interference/node.py
@@ -12,7 +12,7 @@
 from ambershift.interference import records, victims
 from ambershift.interference.normal import Gatherer, Normal
 from ambershift.interference.sift import Told
-from ambershift.interference.suspects import BLOCK, Finding, findings
+from ambershift.interference.suspects import BLOCK, Finding, findings, present, swings
 from ambershift.interference.words import Sample, Unusable
 
 SLOT_NS = 10_000_000_000
@@ -126,7 +126,10 @@
         lately = slots >= slots[-1] - victims.MINUTES * victims.SLOTS_A_MINUTE + 1 if len(slots) else fresh
         slow_now = bool(2 * slow[lately].sum() > lately.sum())
         kept = np.where(slow, np.nan, overs)
-        made = [self._evidence(name, slots, kept, use, overs, normal[name], slow_now) for name in names]
+        filled = present(use, slots)
+        busy = swings(filled)
+        made = [self._evidence(name, slots, kept, filled, busy, overs, normal[name], slow_now)
+                for name in names]
         return Block(made, int((slow & fresh).sum()))
 
     def _learn(self, job: Job, slots: npt.NDArray[np.int64], cpi: npt.NDArray[np.float64],
@@ -136,8 +139,8 @@
             gathered.add(int(slots[at] + 1) * self.slot_ns, float(cpi[job.row, at]))
 
     def _evidence(self, name: str, slots: npt.NDArray[np.int64], kept: npt.NDArray[np.float64],
-                  use: npt.NDArray[np.float64], overs: npt.NDArray[np.float64], normal: Normal | None,
-                  slow_now: bool) -> records.Evidence:
+                  use: npt.NDArray[np.float64], busy: npt.NDArray[np.float64],
+                  overs: npt.NDArray[np.float64], normal: Normal | None, slow_now: bool) -> records.Evidence:
         job = self.jobs[name]
         others = [one for one in sorted(self.jobs) if one != name]
         rows = [self.jobs[one].row for one in others]
@@ -155,7 +158,7 @@
             others_over = kept[rows]
             known = ~np.isnan(others_over)
             common = np.where(known.any(0), np.where(known, others_over, np.inf).min(0), np.nan)
-            found = findings(kept[job.row], use[job.row], use[rows], common, slots)
+            found = findings(kept[job.row], use[job.row], use[rows], busy[rows], common, slots)
             met = [packed(self.jobs[other].group, one) for other, one in zip(others, found, strict=True)
                    if one is not None]
             if not met and not reason:
--- a/ambershift/interference/suspects.py
+++ b/ambershift/interference/suspects.py
@@ -40,26 +40,35 @@
     return np.asarray(columns - (sums / np.bincount(blocks)[:, None])[blocks])
 
 
-def present(uses: Floats, blocks: npt.NDArray[np.int64]) -> Floats:
+def present(uses: Floats, slots: npt.NDArray[np.int64]) -> Floats:
     """Uses with 0 where a job had no sample in a whole block: it was not there, and that is evidence."""
     filled = uses.copy()
-    for number in np.unique(blocks):
-        rows = blocks == number
-        away = np.isnan(uses[:, rows]).all(1)
-        filled[np.ix_(away, rows)] = 0.0
+    starts = np.flatnonzero(np.diff(slots // BLOCK, prepend=-1))
+    if len(starts):
+        away = np.logical_and.reduceat(np.isnan(uses), starts, axis=1)
+        filled[np.repeat(away, np.diff(starts, append=len(slots)), axis=1)] = 0.0
     return filled
 
 
-def findings(over: Floats, own: Floats, uses: Floats, common: Floats, slots: npt.NDArray[np.int64]
-             ) -> list[Finding | None]:
-    """One a row of `uses`. `over`: the victim's excess, NaN where unusable; `own`: its use; `common`: the
-    least excess of the others, NaN where unknown; `slots`: numbers of the slots."""
+def swings(uses: Floats) -> Floats:
+    """How far each job's use rises from calm to busy, in cores; 0 where nothing is known."""
+    ordered = np.sort(uses, axis=1)  # What is unknown comes last.
+    known = (~np.isnan(uses)).sum(1)
+    at = np.arange(len(uses))
+    low, high = (ordered[at, np.maximum(0, (known - 1) * part // 10)] for part in (1, 9))
+    return np.asarray(np.where(known > 0, high - low, 0.0))
+
+
+def findings(over: Floats, own: Floats, filled: Floats, busy: Floats, common: Floats,
+             slots: npt.NDArray[np.int64]) -> list[Finding | None]:
+    """One a row of `filled`, the uses as `present` gives them. `over`: the victim's excess, NaN where
+    unusable; `own`: its use; `busy`: the others' swings; `common`: the least excess of the others, NaN where
+    unknown; `slots`: numbers of the slots."""
     blocks = slots // BLOCK
-    none: list[Finding | None] = [None] * len(uses)
+    none: list[Finding | None] = [None] * len(filled)
     rows = ~np.isnan(over) & ~np.isnan(own)
     if rows.sum() < BLOCK_ROWS * BLOCKS_LEAST:
         return none
-    filled = present(uses, blocks)
     seen = np.flatnonzero((~np.isnan(filled[:, rows])).mean(1) >= PRESENT_LEAST)
     rows &= ~np.isnan(filled[seen]).any(0)
     numbers, places, sizes = np.unique(blocks[rows], return_inverse=True, return_counts=True)
@@ -80,9 +89,8 @@
     found = regression(y, columns[:, used] / scale[used], places)
     for at, one in zip(used, found, strict=True):
         if at < len(seen) and one is not None:
-            use = filled[seen[at], rows]
-            busy = float(np.quantile(use, 0.9) - np.quantile(use, 0.1))
-            none[int(seen[at])] = Finding(one[0] / scale[at], one[1] / scale[at], one[2], busy)
+            suspect = int(seen[at])
+            none[suspect] = Finding(one[0] / scale[at], one[1] / scale[at], one[2], float(busy[suspect]))
     return none
 
 
