--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -59,12 +59,6 @@
     sim.run(SECOND)
 
 
-@pytest.mark.parametrize("block", range(12))
-def test_whatever_happens_what_was_acknowledged_stands(block: int) -> None:
-    for seed in range(4):
-        history(block * 4 + seed, acts=40)
-
-
 def test_a_killed_leader_takes_nothing_acknowledged_with_it() -> None:
     for seed in range(10):
         sim = group(seed=seed)
@@ -424,3 +418,9 @@
     assert kinds == [] and one.view == 1
     sent = [effect.message for effect in one.synced(0, 2) if isinstance(effect, Send)]
     assert [(type(message), message.view, message.number) for message in sent] == [(Have, 1, 1)]
+
+
+@pytest.mark.parametrize("block", range(12))
+def test_whatever_happens_what_was_acknowledged_stands(block: int) -> None:
+    for seed in range(4):
+        history(block * 4 + seed, acts=40)
