--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -67,13 +67,15 @@
             sim.run(MS)
         gone = leader(sim)
         sim.crash(gone)  # In the moment of its answer, and it has no disk.
+        for name in sim.voters:
+            sim.read(name)  # The next leader knows what is committed only once something of its own is.
         began = sim.now
         while not leader(sim):
             sim.run(10 * MS)
         assert sim.now - began < SECOND
         sim.start(gone)
         sim.settle()
-        assert sim.acked["a"] in sim.log and sim.hosts[gone].replica
+        assert sim.acked["a"] in sim.log and sim.answers["done"] == 6
 
 
 def test_the_next_leader_is_one_that_is_there() -> None:
@@ -407,6 +409,41 @@
     assert (task.source if task else "") == source
 
 
+def test_birth_needs_one_moment_at_which_all_were_blank() -> None:
+    one = Replica("n1", ["n1", "n2", "n3"], [], Counting(), 1, 9, None, False, noop=b"noop")
+    one.due(0, WALL)
+    blank = Status.BLANK
+    for round_, lives, status in ((1, (2, 3), blank), (2, (2, 4), blank), (2, (2, 4), blank),
+                                  (3, (2, 4), Status.NORMAL)):
+        for name, life in zip(("n2", "n3"), lives, strict=True):
+            one.hear(0, name, messages.Blank(incarnation=life, view=0, asked=9, round=round_))
+        assert one.status is status, (round_, lives)
+
+
+@pytest.mark.parametrize("disk", [False, True])
+def test_a_new_leader_counts_itself_once_synced_and_commits_by_entries_of_its_own_view(disk: bool) -> None:
+    saved = Saved("g", 4, 0, 0, 1, None, tuple(Entry(0, number, 0, "", b"") for number in (1, 2)))
+    one = Replica("n2", ["n1", "n2", "n3"], [], Counting(), 1, 5, saved, disk, noop=b"noop")
+    one.core.fixed = one.core.fixed._replace(disk=disk)
+    one.due(0, WALL)
+    one.hear(0, "n3", messages.Leave(incarnation=1, view=1, lives=(), rows=()))
+    one.hear(0, "n3", messages.Vote(incarnation=1, view=1, last=0, number=1, committed=1, lives=(), rows=()))
+    assert one.status is (Status.CHANGING if disk else Status.NORMAL)
+    while disk and one.core.synced < one.core.ticket:
+        one.synced(0, one.core.synced + 1)
+    assert one.leader == "n2" and one.core.log.top == 3
+    for number, committed in ((2, 1), (3, 3)):
+        one.hear(0, "n3", Have(incarnation=1, view=1, round=0, number=number, committed=0, status=""))
+        assert one.committed == committed
+
+
+def test_what_a_member_once_vouched_for_is_not_forgotten_when_it_tells_less() -> None:
+    core = group().hosts["n1"].replica.core  # type: ignore[union-attr]
+    for incarnation, number, kept in ((500, 10, (500, 10)), (501, 3, (500, 10)), (501, 11, (501, 11))):
+        knowing.learn_row(core, messages.Vouch("n3", incarnation, 0, 0, number, 0, ""))
+        assert (core.rows["n3"].incarnation, core.rows["n3"].number) == kept
+
+
 def test_a_follower_vouches_for_nothing_while_its_view_is_not_on_its_disk() -> None:
     saved = Saved("g", 4, 0, 0, 1, None, (Entry(0, 1, 0, "group:g", b"noop"),))
     one = Replica("n3", ["n1", "n2", "n3"], [], Counting(), 1, 5, saved, True, noop=b"noop")
@@ -420,6 +457,25 @@
     assert [(type(message), message.view, message.number) for message in sent] == [(Have, 1, 1)]
 
 
+def test_entries_that_took_the_place_of_others_are_vouched_for_after_their_own_sync() -> None:
+    saved = Saved("g", 4, 0, 0, 1, None, (Entry(0, 1, 0, "group:g", b"noop"),))
+    one = Replica("n3", ["n1", "n2", "n3"], [], Counting(), 1, 5, saved, True, noop=b"noop")
+    one.due(0, WALL)
+    for view, ticket in ((0, 2), (1, 3)):
+        entries = tuple(Entry(view, number, 0, "", b"v%d" % view) for number in (2, 3))
+        said = messages.Prepare(incarnation=1, view=view, group="g", after=1, after_view=0, entries=entries,
+                                committed=1)
+        one.hear(0, f"n{view + 1}", said)
+        assert one.core.ticket == ticket
+    found = [[effect.message.number for effect in one.synced(0, ticket) if isinstance(effect, Send)]
+             for ticket in (2, 3)]
+    assert found == [[], [3]]
+    one.hear(0, "n3", messages.Newer(incarnation=1, view=9))
+    one.hear(0, "n1", messages.Prepare(incarnation=1, view=3, group="g", after=1, after_view=0,
+                                       entries=(Entry(3, 2, 0, "", b"v3"),), committed=1))
+    assert one.core.durable == 1 and one.core.vouched == -1
+
+
 @pytest.mark.parametrize("block", range(12))
 def test_whatever_happens_what_was_acknowledged_stands(block: int) -> None:
     for seed in range(4):
