--- a/ambershift/replication/views.py
+++ b/ambershift/replication/views.py
@@ -105,8 +105,6 @@
     """What belonged to the view before is void."""
     core.view = view
     core.sure = core.committed
-    core.held.clear()
-    core.vouching.clear()
     core.suspecting, core.doubt, core.voted = False, False, False
     core.agreed, core.leavers, core.votes = {}, {}, {}
     core.fetching = None
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -437,6 +437,21 @@
         assert one.committed == committed
 
 
+def test_what_a_member_said_in_an_earlier_life_counts_no_more() -> None:
+    names = ("n1", "n2", "n3", "n4", "n5")
+    one = Replica("n1", names, [], Counting(), 1, 9, None, False, noop=b"noop")
+    birth.be_born(one.core, 0, ())
+    one.due(0, WALL)
+
+    def have(name: str, life: int) -> int:
+        one.hear(0, name, Have(incarnation=life, view=0, round=0, number=1, committed=0, status=""))
+        return one.committed
+
+    assert have("n3", 1) == 0
+    one.hear(0, "n3", messages.Ask(incarnation=2, view=0, round=1, voters=names))  # It has lost its memory.
+    assert [have("n4", 1), have("n3", 1), have("n3", 2)] == [0, 0, 1]
+
+
 def test_what_a_member_once_vouched_for_is_not_forgotten_when_it_tells_less() -> None:
     core = group().hosts["n1"].replica.core  # type: ignore[union-attr]
     for incarnation, number, kept in ((500, 10, (500, 10)), (501, 3, (500, 10)), (501, 11, (501, 11))):
