--- a/ambershift/group/evidence.py
+++ b/ambershift/group/evidence.py
@@ -17,6 +17,7 @@
 # sample is told, as a judge needs to know what is usual.
 TRIES_LEAST, BAD_SHARE, LATE = 3, 0.2, 2.0
 ILL_MOST, SAMPLE = 300, 40
+FAILS = 0.5  # Of the tries: so much counts as out.
 SPLIT = "\x1f"  # Between a server's id and a zone's name in a key.
 
 
@@ -96,3 +97,18 @@
         for row in met:
             if row.bad <= row.tries:
                 yield record, zone, row
+
+
+def troubled(store: Store, now: int, age_most: int) -> tuple[frozenset[str], frozenset[str]]:
+    """Servers that fail for all zones that tried them lately, and those that fail for some of them only: by
+    everybody's evidence, one's own too. Late answers are answers."""
+    fails, does_well = dict[str, set[str]](), dict[str, set[str]]()
+    for record in store.all(now, Kind.ILL):
+        if record.age_ns <= age_most:
+            zone, met = rows(record)
+            for row in met:
+                if row.tries >= TRIES_LEAST and row.bad <= row.tries:
+                    held = fails if row.bad >= FAILS * row.tries else does_well
+                    held.setdefault(row.server, set()).add(zone)
+    cut = frozenset(server for server, zones in fails.items() if does_well.get(server, zones) - zones)
+    return frozenset(fails) - cut, cut
--- a/ambershift/group/learned.py
+++ b/ambershift/group/learned.py
@@ -14,7 +14,7 @@
 
 from ambershift import interface as api
 from ambershift.admin.mirror import Picture
-from ambershift.group.evidence import SECOND, SPLIT, Row, Sum, Sums, newest, notable, sample
+from ambershift.group.evidence import SECOND, SPLIT, Row, Sum, Sums, newest, notable, sample, troubled
 from ambershift.replication.heard.store import Store
 from ambershift.replication.heard.words import BODY_MOST, KEY_MOST, Kind, Record, longest
 
@@ -51,6 +51,8 @@
         self.given = dict[tuple[str, str], tuple[int, int]]()  # By zone and server, the word given last.
         self.handed = dict[int, api.Met]()  # Given to the module and not yet seen to pass.
         self.put = dict[tuple[int, str], tuple[bytes, int]]()
+        # Ids of servers that fail for all, and of those that fail for some zones only, by all members' words.
+        self.out, self.cut = frozenset[str](), frozenset[str]()
 
     # What passes
 
@@ -119,6 +121,7 @@
             self.told_at = now
             self.tell_met(now)
             self.tell_picture(now, picture)
+        self.out, self.cut = troubled(self.store, now, AGE_MOST)
         events: list[api.Event] = []
         if self.touched:
             told = tuple(self.known[server] for server in sorted(self.touched) if server in self.known)
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -137,6 +137,21 @@
     assert all(one.key.startswith(SPLIT) for one in a.store.all(NOW + 10 * S, Kind.ILL))
 
 
+def test_who_fails_for_all_is_out_and_who_fails_for_some_zones_is_cut_off() -> None:
+    a, b = pair()
+    a.stepped(NOW, [met(0, 9, 5, 0), met(0, 9, 9, 1), met(1, 9, 9, 0), met(1, 9, 1, 1), met(2, 9, 0, 0, 900),
+                    met(3, 2, 2, 0), *[met(at, 9, 0, 0) for at in range(4, 20)]])
+    b.stepped(NOW, [met(5, 9, 9, 1), met(6, 9, 9, 0), *[met(at, 9, 0, 1) for at in range(10, 20)]])
+    for one in (a, b):
+        one.due(NOW + 2 * S, BLANK)
+    carry(a, b, NOW + 2 * S, NOW + 2 * S)
+    b.due(NOW + 2 * S, BLANK)
+    # 6 is well and fails for the same zone: whose word is right is not known, and out is the careful one.
+    assert (b.out, b.cut) == ({"s0", "s6"}, {"s1", "s5"})
+    b.due(NOW + 18 * S, BLANK)
+    assert not b.out and not b.cut
+
+
 def test_the_worst_are_told_one_by_one_and_an_overload_is_none_of_them() -> None:
     rng = random.Random(4)
     usual = {(0, at): Sum(rng.randrange(5, 90), 0, 0) for at in range(200)}
