--- a/ambershift/group/front.py
+++ b/ambershift/group/front.py
@@ -73,7 +73,9 @@
                                  lambda: list(door.indices), self.at_desk.ease, note)
         self.member.on_counters = self.counting.counters
         self.promises.interfered = lambda: list(self.counting.scores.rows)
-        self.others = Others(interfered=lambda server: self.counting.scores.interfered.get(server, 0.0))
+        learned = self.learned
+        self.others = Others(lambda server: server in learned.out, lambda server: server in learned.cut,
+                             lambda server: self.counting.scores.interfered.get(server, 0.0))
 
     def learn(self, now: int) -> None:
         if now >= self.learned_at + LEARN_EVERY and not self.desk.stopping:
