--- a/ambershift/group/counting.py
+++ b/ambershift/group/counting.py
@@ -13,6 +13,7 @@
 
 from ambershift.group.gossip import Gossip
 from ambershift.group.links.wire import UnreadableError
+from ambershift.group.links.words import failure
 from ambershift.interference.words import Sample
 from ambershift.replication.heard.words import Kind, Record
 
@@ -102,7 +103,7 @@
                 try:
                     self.turn(engine)
                 except Exception as error:  # No score is worth the end of all later ones.
-                    self.note("failure", where="counting", error=repr(error)[:500])
+                    failure(self.note, "counting", error)
             time.sleep(1.0)
 
     def turn(self, engine: Engine) -> None:
--- a/ambershift/group/gossip.py
+++ b/ambershift/group/gossip.py
@@ -11,6 +11,7 @@
 
 from ambershift.group.clocks import Clocks
 from ambershift.group.links.wire import Kind, UnreadableError
+from ambershift.group.links.words import failure
 from ambershift.maintenance.words import Permit, Phase
 from ambershift.replication.heard import messages
 from ambershift.replication.heard.store import Store
@@ -24,6 +25,7 @@
 # One digest to each member a beat: what is new has reached all within two. One's own is said again each
 # OWN_EVERY, well within the time that it counts.
 BEAT, OWN_EVERY = 0.25, 4
+APART_LOOKS = 3  # So often in a row the clock must look apart, a second each.
 NEITHER, DRAINED, LET_IN = b"0", b"1", b"2"  # Bodies of DRAINED.
 
 
@@ -44,7 +46,7 @@
         self.beats = list[Callable[[int], None]]()
         self.news = list[Callable[[int, list[Record]], None]]()
         self.task: asyncio.Task[None] | None = None
-        self.turn = 0
+        self.turn, self.apart = 0, 0
 
     def live(self, incarnation: int) -> None:
         """A new life. What others said still counts, by its age, and one's own words are said anew: to all
@@ -64,14 +66,16 @@
             try:
                 self.beat(self.member.now())
             except Exception as error:  # One bad record must not end what all later ones need.
-                self.member.note("failure", where="gossip", error=repr(error)[:500])
+                failure(self.member.note, "gossip", error)
 
     def beat(self, now: int) -> None:
         self.turn += 1
         if self.turn % OWN_EVERY == 1:
             self.store.sweep(now)
             self.say_own(now)
-            self.member.at_desk.hold(not self.clocks.apart(now))
+            # Not by one look: a process that was stopped reads old words first, and must let nothing in.
+            self.apart = self.apart + 1 if self.clocks.apart(now) else 0
+            self.member.at_desk.hold(self.apart < APART_LOOKS)
         for call in self.beats:
             call(now)
         if not self.member.halted:
--- a/ambershift/group/links/accepted.py
+++ b/ambershift/group/links/accepted.py
@@ -25,7 +25,7 @@
     read_frame,
     read_hello,
 )
-from ambershift.group.links.words import Above, Tally
+from ambershift.group.links.words import Above, Tally, failure
 from ambershift.version import VERSION
 
 HELLO_WITHIN, HEARTBEAT, END_WITHIN = 2.0, 4.0, 0.3
@@ -127,6 +127,9 @@
                     self.above.heard(hello.name, kind, payload)
             except UnreadableError as error:
                 return await self.end(socket, name, Close.UNREADABLE, str(error))
+            except Exception as error:  # Of ours: told in full, and the link is dialled anew.
+                failure(self.note, "link", error)
+                return await self.end(socket, name, Close.UNREADABLE, "a failure of this program")
             frames, size = frames + 1, size + len(message.data)
             if frames >= FRAMES_A_TURN or size >= BYTES_A_TURN:
                 frames, size = 0, 0
--- a/ambershift/group/links/dialled.py
+++ b/ambershift/group/links/dialled.py
@@ -76,6 +76,9 @@
                 reason, why = Close.UNREADABLE, str(error)
             except (aiohttp.ClientError, OSError, RuntimeError) as error:
                 why = str(error)[:200]
+            except Exception as error:  # A task that ended unheard would never dial again.
+                why = repr(error)[:200]
+                self.note("failure", where="dial", error=why)
             stood, self.up = stood or self.up, False
             self.queue.clear()
             self.wake.clear()
--- a/ambershift/group/links/words.py
+++ b/ambershift/group/links/words.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import traceback
 from collections import Counter
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from ambershift.group.links.gate import Mine
@@ -44,3 +46,9 @@
     def __init__(self) -> None:
         self.counts = Counter[str]()
         self.ways = dict[str, str]()  # "" where it stands, else why it does not.
+
+
+def failure(note: Callable[..., None], where: str, error: BaseException) -> None:
+    """An error that nobody foresaw: told in full, and the work goes on."""
+    note("failure", where=where, error=repr(error)[:500],
+         trace="".join(traceback.format_exception(error))[-4000:])
--- a/ambershift/group/member.py
+++ b/ambershift/group/member.py
@@ -15,6 +15,7 @@
 from ambershift.group.links.gate import Mine
 from ambershift.group.links.links import Links
 from ambershift.group.links.wire import Close, Kind, Refused, UnreadableError
+from ambershift.group.links.words import failure
 from ambershift.group.spec import Spec
 from ambershift.promises.answers import decode, read_answer
 from ambershift.promises.machine import PromisesMachine
@@ -24,7 +25,7 @@
 from ambershift.replication.replica import Replica
 from ambershift.replication.words import Answer, Applied, Halt, Reason, Restored, Send, Write
 
-SECOND = 1_000_000_000
+SECOND, FAILED_PAUSE = 1_000_000_000, 0.2
 
 
 class Member(Asking):
@@ -91,7 +92,7 @@
 
     async def end_disk(self) -> None:
         disk, self.disk = self.disk, None
-        if disk is not None and not await asyncio.to_thread(disk.close):
+        if disk and not await asyncio.to_thread(disk.close):
             self.note("disk_hangs")
 
     # What it is
@@ -244,5 +245,10 @@
 
     def ring(self) -> None:
         self.timer = None
-        if self.replica is not None and not self.halted and not self.stopping:
+        if self.replica is None or self.halted or self.stopping:
+            return
+        try:
             self.perform(self.replica.due(self.now(), self.wall()))
+        except Exception as error:  # Told in full; without a timer the member would be silent for ever.
+            failure(self.note, "replica", error)
+            self.timer = asyncio.get_running_loop().call_later(FAILED_PAUSE, self.ring)
--- a/ambershift/group/upkeep.py
+++ b/ambershift/group/upkeep.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ambershift.group.links.words import failure
 from ambershift.group.member import Member
 from ambershift.maintenance.limits import Limits
 from ambershift.maintenance.permits import Heard, Steers
@@ -56,7 +57,7 @@
             try:
                 self.turn()
             except Exception as error:  # Permits end by themselves; what is wrong here must not end the loop.
-                self.member.note("failure", where="upkeep", error=repr(error)[:500])
+                failure(self.member.note, "upkeep", error)
             await asyncio.sleep(EVERY / 10)  # Commits may come by the hundred.
 
     def turn(self) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -55,6 +55,8 @@
     def heard(self, sender: str, kind: Kind, payload: bytes) -> None:
         if payload == b"bad":
             raise UnreadableError("no message")
+        if payload == b"broken":
+            raise KeyError("of ours")
         self.got.append((sender, kind, payload))
 
     def gone(self, member: str) -> None:
@@ -150,18 +152,21 @@
     assert away is not None and away.reason == Close.UNKNOWN_MEMBER
 
 
-FRAMES = [(frame(Kind.REPLICA, b"bad"), Close.UNREADABLE, 1007), (b"", Close.UNREADABLE, 1007),
+FRAMES = [(frame(Kind.REPLICA, b"bad"), Close.UNREADABLE, 1007),
+          (frame(Kind.REPLICA, b"broken"), Close.UNREADABLE, 1007), (b"", Close.UNREADABLE, 1007),
           (b"\x63what", Close.UNREADABLE, 1007), (frame(Kind.COUNTERS, b"\x90"), Close.UNREADABLE, 1007),
           (bytes(MESSAGE_MOST + 1), Close.TOO_LARGE, 1009)]
 
 
-@pytest.mark.parametrize("data,reason,code", FRAMES, ids=["bad", "empty", "kind", "counters", "large"])
+@pytest.mark.parametrize("data,reason,code", FRAMES,
+                         ids=["bad", "broken", "empty", "kind", "counters", "large"])
 def test_a_bad_frame_ends_the_link_by_name_and_costs_no_other(data: bytes, reason: Close, code: int) -> None:
     async def act(top: Top, other: Top) -> None:
         await until(lambda: not top.links.tally.ways["c"])
         reply, ended = await by_hand(top, hello(), frame(Kind.HEARD, b"good"), data, frame(Kind.HEARD, b"x"))
         assert isinstance(reply, Welcome) and ended in (code, 1006 if reason is Close.TOO_LARGE else code)
         assert top.got == [("b", Kind.HEARD, b"good")] and top.count(reason) == 1
+        assert ("failure" in [event for event, _ in top.log]) == data.endswith(b"broken")
         assert other.links.send("a", Kind.HEARD, b"still there")
         await until(lambda: ("c", Kind.HEARD, b"still there") in top.got)
     play(act, "a", "c")
