--- a/ambershift/replication/birth.py
+++ b/ambershift/replication/birth.py
@@ -66,6 +66,8 @@
 def on_blank(core: Core, now: int, sender: str, message: Blank) -> None:
     if core.status is not Status.BLANK or message.asked != core.incarnation or message.round != core.round:
         return
+    if sender not in core.fixed.voters:
+        return
     before = core.blank_before.get(sender)
     if core.blank_before and before != message.incarnation:  # Started anew: no such moment yet.
         core.blank_before, core.blank_now = {}, {}
@@ -98,6 +100,8 @@
     """f + 1 answers of members at work, and the leader of the newest view among them."""
     if core.status is not Status.BLANK or message.asked != core.incarnation or not core.fixed.votes:
         return
+    if sender not in core.fixed.voters:
+        return
     learn_lives(core, message.lives)
     learn_rows(core, message.rows)
     if core.status is not Status.BLANK:  # Halted by what it learnt.
--- a/ambershift/replication/requests.py
+++ b/ambershift/replication/requests.py
@@ -30,7 +30,7 @@
         core.out.append(Answer(ticket, Reason(core.halted[0]), b"", 0))
     elif len(core.wants) >= timing.waiting:
         core.out.append(Answer(ticket, Reason.TOO_MANY_WAIT, b"", timing.come_back))
-    elif len(want.command) > timing.command_bytes:
+    elif len(want.command) + len(want.token) > timing.command_bytes:
         core.out.append(Answer(ticket, Reason.TOO_LARGE, b"", 0))
     else:
         core.keep_want(ticket, want)
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -368,7 +368,8 @@
         for name in self.hosts:
             self.submit(name, f"last-{name}", b"last")
         self.run(3 * SECOND)
-        states = {name: host.replica and (host.replica.status, host.replica.committed, host.replica.state)
+        states = {name: host.replica and (host.replica.status, host.replica.committed, host.replica.state,
+                                          hash(host.replica.core.tokens.all()))
                   for name, host in self.hosts.items()}
         assert len(set(states.values())) == 1, states
         assert all(state and state[0] is Status.NORMAL for state in states.values()), states
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -322,6 +322,9 @@
                                         status=""))
     head.hear(sim.now, name, Chunk(incarnation=life, view=head.view, group="", after=0, entries=(), top=9,
                                    committed=9, snapshot=0, offset=0, total=0, data=b""))
+    row = messages.Vouch("stranger", 7, 0, 0, 0, 0, "")
+    head.hear(sim.now, name, messages.Suspect(incarnation=life, view=head.view, round=1, rows=(row,)))
+    assert "stranger" not in {**head.core.rows, **head.core.lives}
     assert head.committed == before and head.status is Status.NORMAL
     sim.settle()
 
@@ -437,6 +440,25 @@
         assert one.committed == committed
 
 
+def test_who_led_a_view_before_a_restart_leads_it_no_more() -> None:
+    saved = Saved("g", 4, 1, 0, 1, None, (Entry(0, 1, 0, "group:g", b"noop"),))
+    one = Replica("n2", ["n1", "n2", "n3"], [], Counting(), 1, 5, saved, True, noop=b"noop")
+    one.due(0, WALL)
+    one.synced(0, 1)
+    one.hear(0, "n3", messages.Leave(incarnation=1, view=1, lives=(), rows=()))
+    one.hear(0, "n3", messages.Vote(incarnation=1, view=1, last=0, number=1, committed=1, lives=(), rows=()))
+    assert one.status is Status.CHANGING and one.core.log.top == 1
+
+
+def test_a_vote_is_given_once_a_majority_is_known_to_have_left() -> None:
+    one = Replica("n3", ["n1", "n2", "n3", "n4", "n5"], [], Counting(), 1, 5, None, False, noop=b"noop")
+    birth.be_born(one.core, 0, ())
+    for name, votes in (("n4", 0), ("n4", 0), ("n5", 1)):
+        found = one.hear(0, name, messages.Leave(incarnation=1, view=1, lives=(), rows=()))
+        assert [effect.to for effect in found if isinstance(effect, Send)
+                and isinstance(effect.message, messages.Vote)] == ["n2"] * votes
+
+
 def test_what_a_member_said_in_an_earlier_life_counts_no_more() -> None:
     names = ("n1", "n2", "n3", "n4", "n5")
     one = Replica("n1", names, [], Counting(), 1, 9, None, False, noop=b"noop")
