--- a/ambershift/group/learned.py
+++ b/ambershift/group/learned.py
@@ -167,7 +167,7 @@
         # Well again where it was tried; where it was not, the last word ages.
         for zone, server in (self.ill - ill) & sums.keys():
             self.store.take_back(now, Kind.ILL, f"{self.names.server(server)}{SPLIT}{self.names.zone(zone)}")
-        self.ill = ill | (self.ill - sums.keys())
+        self.ill = ill | {place for place in self.ill - sums.keys() if place[1] in self.known}
         self.met_at = {server: at for server, at in self.met_at.items() if now - at < OWN_LATE}
 
     def tell_rows(self, now: int, zone: int, key: str, servers: list[int],
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -186,6 +186,27 @@
     assert len(given(b, NOW)) == GIVEN_MOST and len(given(b, NOW)) == 1000 and not given(b, NOW)
 
 
+def test_servers_that_come_and_go_leave_nothing_behind_and_long_names_do_no_harm() -> None:
+    a, b = pair()
+    for start in range(0, 6000, 500):
+        new = tuple(entry(at, 0, since=NOW) for at in range(start, start + 500))
+        for one in (a, b):
+            one.listed(NOW, api.Listed(True, False, new))
+        a.stepped(NOW, [met(at, 9, 9) for at in range(start, start + 40)])
+        a.tell_met(NOW + S)
+        carry(a, b, NOW + S, NOW + S)
+        given(b, NOW + S)
+    assert len(a.known) == 500 and len(a.ill) == 40 and max(map(len, (a.put, b.given))) <= 4000
+    a.names = Long(2)
+    shown(a, NOW, 1, NOW)
+    assert all(len(one.key) < 600 for one in a.store.all(NOW, Kind.START))
+
+
+class Long(Numbered):
+    def server(self, index: int) -> str | None:
+        return "s" * 600
+
+
 class Careful(Numbered):
     def zone_index(self, zone: str) -> int | None:
         return {"z0": 0, "z1": 1}.get(zone)
