--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -7,7 +7,6 @@
 import msgspec
 import pytest
 from plain import S, entry, make_terms
-from twofold import Numbered, Side, Takeover
 
 from ambershift import interface as api
 from ambershift.admin.mirror import BLANK
@@ -15,6 +14,7 @@
 from ambershift.group.learned import AGE_MOST, GIVEN_MOST, TRIES_MOST, Learned
 from ambershift.replication.heard import Kind
 from ambershift.replication.heard.store import Store
+from benchmarks.takeover import Numbered, Side, Takeover
 
 COLD = 20 * S
 NOW = 1000 * S
@@ -192,7 +192,7 @@
         new = tuple(entry(at, 0, since=NOW) for at in range(start, start + 500))
         for one in (a, b):
             one.listed(NOW, api.Listed(True, False, new))
-        a.stepped(NOW, [met(at, 9, 9) for at in range(start, start + 40)])
+        a.stepped(NOW, [met(start + at, 9, 9 if at < 40 else 0) for at in range(200)])
         a.tell_met(NOW + S)
         carry(a, b, NOW + S, NOW + S)
         given(b, NOW + S)
