--- a/ambershift/promises/machine.py
+++ b/ambershift/promises/machine.py
@@ -119,9 +119,8 @@
         if not weighable(change):
             return state, refused(Reason.WEIGHT_OUT_OF_RANGE, one.server)
         old = wishes.get(one.server, AS_LISTED)
-        # The same wish again is no change: a command sent twice acts once.
-        if (new := wanted(old, change)) != old:
-            wishes = wishes.insert(one.server, new._replace(origin=origin))
+        wishes = wishes.insert(one.server, wanted(old, change)._replace(origin=origin))
+    # The same wish again is no change: a command sent twice acts once.
     named = dict.fromkeys(one.server for one in command.changes)
     changed = tuple(server for server in named
                     if wishes.get(server, AS_LISTED)._replace(origin=NEVER)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ambershift.admin.words import AS_LISTED, NEVER, Health, State, Weight
-from ambershift.maintenance.words import Agreement, Declared, Permit, Phase, Refusal, Tenant, Work
+from ambershift.maintenance.words import Agreement, Declared, Permit, Phase, Refusal, Tenant, Window, Work
 from ambershift.promises.answers import Outcome, Why, decode, encode, read_answer, refused
 from ambershift.promises.machine import KEPT_MOST, WISHES_MOST, PromisesMachine
 from ambershift.promises.state import EMPTY, Promises, UnreadableStateError, pack, unpack
@@ -74,6 +74,20 @@
     assert log.write(Declare(declared(3, ()))).done and not len(log.state.past)
 
 
+@pytest.mark.parametrize(("tenant", "work"), [
+    ({"agreement": Agreement(float("nan"), 1, 0, ())}, {}), ({"agreement": Agreement(-1.0, 1, 0, ())}, {}),
+    ({"agreement": Agreement(1.0, -1, 0, ())}, {}), ({"agreement": Agreement(1.0, 1, -1, ())}, {}),
+    ({"windows": (Window("w", "FREQ=DAILY", "2026-12-01T02:00:00", 0, "UTC"),)}, {}), ({"name": "a/b"}, {}),
+    ({}, {"takes_ns": 0}), ({}, {"at_once": -1}), ({}, {"servers": ("a", "a")}), ({}, {"name": ""})])
+def test_what_no_leader_could_judge_by_is_not_declared(tenant: dict[str, object], work: dict[str, object]
+                                                       ) -> None:
+    log, whole = Log(), declared()
+    bad = Declared(1, (msgspec.structs.replace(whole.tenants[0], **tenant),),
+                   (msgspec.structs.replace(WORK, **work),))
+    assert log.write(Declare(bad)).reason == Why.UNSOUND and not log.state.permits_touched
+    assert log.write(Declare(msgspec.structs.replace(whole, tenants=whole.tenants * 2))).reason == Why.UNSOUND
+
+
 def test_of_two_leaders_that_judged_by_one_state_one_is_refused() -> None:
     log = Log()
     log.write(Declare(declared()))
