--- a/ambershift/group/asking.py
+++ b/ambershift/group/asking.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from ambershift.group.spec import Spec
 from ambershift.promises.answers import encode
+from ambershift.promises.state import EMPTY, Promises
 from ambershift.promises.words import Command
 from ambershift.replication.replica import Replica
 from ambershift.replication.words import Answer, Reason
@@ -23,6 +25,7 @@
     halted: tuple[str, str] | None
     stopping: bool
     now: Callable[[], int]
+    spec: Spec
 
     def __init__(self) -> None:
         self.asked = dict[int, asyncio.Future[Answer]]()
@@ -31,9 +34,6 @@
     def perform(self, effects: list[Any]) -> None:
         raise NotImplementedError
 
-    def wall(self) -> int:
-        raise NotImplementedError
-
     async def submit(self, token: str, command: Command, wait: int) -> Answer:
         """Answered within `wait` ns; a refusal by name says whether anything may stand."""
         return await self.ask(lambda now, ticket: self.running().submit(
@@ -73,3 +73,16 @@
     def running(self) -> Replica:
         assert self.replica is not None
         return self.replica
+
+    def wall(self) -> int:
+        return self.now() + self.spec.clock_ahead
+
+    @property
+    def state(self) -> Promises:
+        """As committed, as far as this member knows."""
+        found: Promises = self.replica.state if self.replica is not None else EMPTY
+        return found
+
+    @property
+    def leads(self) -> bool:
+        return self.replica is not None and self.halted is None and self.replica.leader == self.spec.me
--- a/ambershift/group/member.py
+++ b/ambershift/group/member.py
@@ -19,7 +19,7 @@
 from ambershift.group.spec import Spec
 from ambershift.promises.answers import decode, read_answer
 from ambershift.promises.machine import PromisesMachine
-from ambershift.promises.state import EMPTY, Promises
+from ambershift.promises.state import Promises
 from ambershift.promises.words import Command, Wishes
 from ambershift.replication import messages, words
 from ambershift.replication.replica import Replica
@@ -95,21 +95,6 @@
         if disk and not await asyncio.to_thread(disk.close):
             self.note("disk_hangs")
 
-    # What it is
-
-    def wall(self) -> int:
-        return self.now() + self.spec.clock_ahead
-
-    @property
-    def state(self) -> Promises:
-        """As committed, as far as this member knows."""
-        found: Promises = self.replica.state if self.replica is not None else EMPTY
-        return found
-
-    @property
-    def leads(self) -> bool:
-        return self.replica is not None and self.halted is None and self.replica.leader == self.spec.me
-
     # What links tell
 
     def mine(self) -> Mine:
