--- a/ambershift/group/rows.py
+++ b/ambershift/group/rows.py
@@ -9,7 +9,9 @@
 if TYPE_CHECKING:
     from ambershift.group.member import Member
 
-MS = 1_000_000
+MS, SECOND = 1_000_000, 1_000_000_000
+# Who was not heard for so long is told as away, and leads nobody here: beats come twenty times a second.
+AWAY = 2 * SECOND
 
 
 def member_rows(member: Member) -> list[dict[str, Any]]:
@@ -21,16 +23,20 @@
     names = (*member.spec.voters, *member.spec.copies)
     made = []
     for name in names:
-        row, own = rows.get(name), name == me
+        row, own, at = rows.get(name), name == me, member.heard_at.get(name)
+        age = -1 if at is None else member.now() - at
+        here = own or 0 <= age < AWAY
         state, why = row.status if row is not None else "unknown", ""
+        if not here and age >= 0:
+            state = "away"
         if own and halted is not None:
             state, why = "halted", f"{halted[0]}: {halted[1]}"
         made.append({
-            "name": name, "state": state, "leader": bool(row and row.leads and not (own and halted)),
+            "name": name, "state": state, "leader": bool(row and row.leads and here and not (own and halted)),
             "votes": name in member.spec.voters,
             "incarnation": member.life.incarnation if own else row.incarnation if row else 0,
             "committed": (replica.committed if replica else 0) if own else row.committed if row else 0,
-            "heard_ms": row.heard_ns // MS if row and not own and row.heard_ns >= 0 else -1,
+            "heard_ms": -1 if own or age < 0 else age // MS,
             "link": "-" if own else member.links.tally.ways.get(name, "") or "up", "why": why})
     return made
 
--- a/ambershift/replication/requests.py
+++ b/ambershift/replication/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ambershift.replication.applying import commit_to
 from ambershift.replication.core import Core, Want
 from ambershift.replication.leading import accept, ask_to_read
 from ambershift.replication.messages import Answered, Forward, ReadAsk, ReadAt
@@ -29,7 +30,7 @@
         core.out.append(Answer(ticket, Reason(core.halted[0]), b"", 0))
     elif len(core.wants) >= timing.waiting:
         core.out.append(Answer(ticket, Reason.TOO_MANY_WAIT, b"", timing.come_back))
-    elif len(want.command) > timing.command_bytes:
+    elif len(want.command) + len(want.token) > timing.command_bytes:
         core.out.append(Answer(ticket, Reason.TOO_LARGE, b"", 0))
     else:
         core.keep_want(ticket, want)
@@ -39,7 +40,10 @@
 def push(core: Core, now: int, ticket: int) -> None:
     """On to the leader, if there is one."""
     want = core.wants[ticket]
-    if core.status is not Status.NORMAL or core.doubt or want.place >= 0:
+    # What goes to a leader that has long been quiet could no more be refused: its outcome would be unknown.
+    quiet = not core.leading and now - core.leader_heard > core.fixed.timing.silence
+    if core.status is not Status.NORMAL or core.doubt or quiet or want.place >= 0 or (
+            now >= want.until):
         core.keep_want(ticket, want._replace(retry_at=now + core.fixed.timing.retry))
         return
     if want.read:
@@ -99,6 +103,8 @@
 
 def on_read_at(core: Core, now: int, sender: str, message: ReadAt) -> None:
     if message.asked == core.incarnation:
+        if message.view == core.view and sender == core.leader and core.status is Status.NORMAL:
+            commit_to(core, message.number)  # It is committed, or the leader would not have told it.
         take_read(core, message.ticket, message.number)
 
 
--- a/ambershift/standins/rig.py
+++ b/ambershift/standins/rig.py
@@ -36,13 +36,13 @@
 
     def __init__(self, place: Path, count: int, disk: bool | Sequence[bool] = True, grouped: bool = True,
                  proxies: int = 6, servers: int = 8, extra: str = "", seed: int = 1, rate: float = 5.0,
-                 voters: int | None = None, listed: Sequence[dict[str, Any]] | None = None) -> None:
+                 voters: int | None = None, ahead: Sequence[str] = ()) -> None:
         self.place, self.host = place, own_host()
         self.names = [f"n{at + 1}" for at in range(count)]
         listens = [TALK + at for at in range(count)]
         self.net = Net(self.host, self.names, listens, BREAKERS)
         self.discovery = Discovery()
-        self.discovery.now = listing(5, *(listed or [server(at) for at in range(servers)]))
+        self.discovery.now = listing(5, *(server(at) for at in range(servers)))
         rules = SETTINGS_OF_RIG["rules"]
         self.cold, self.grace = rules["cold"] / 1e3, rules["stop_sending_within"] / 1e3
         self.fleet = Fleet(SETTINGS_OF_RIG["zones"], [one["name"] for one in SETTINGS_OF_RIG["classes"]],
@@ -56,6 +56,8 @@
             group = self.group_text(at, voters or count) if grouped else ""
             self.members[name] = Member(
                 name, place / name, self.configure(at, name), group, extra, copies)
+            if ahead:
+                self.members[name].clock_ahead = ahead[at]
         self.agents = [Agent(self.fleet, name, zone, (self.host, AGENTS + at))
                        for at, name in enumerate(self.names) for zone in self.fleet.zones]
 
@@ -138,6 +140,25 @@
             clone.put_back(real.keep_copy("cloned"))
         return clone
 
+    def restart_server(self, server: str) -> None:
+        """The work at a server is done: it starts anew, cold, and discovery tells so."""
+        entry = next(one for one in self.discovery.now["servers"] if one["id"] == server)
+        self.fleet.servers[server].started = self.now()
+        self.discovery.change({**entry, "started_ms": round(time.time() * 1e3)})
+
+    async def work(self, servers: Sequence[str], takes: float) -> None:
+        """Somebody works at each of these once no proxy sends there, for so long; until cancelled."""
+        since = dict[str, float]()
+        left = list(servers)
+        while left:
+            await asyncio.sleep(0.05)
+            for name in list(left):
+                if not self.fleet.unused(name):
+                    since.pop(name, None)
+                elif self.now() >= since.setdefault(name, self.now()) + takes:
+                    left.remove(name)
+                    self.restart_server(name)
+
     def spread(self) -> None:
         """The proxies in turn over all that run, as they were at the beginning."""
         names = self.running()
--- a/tests/twofold.py
+++ b/benchmarks/takeover.py
@@ -1,20 +1,34 @@
-"""Two coordinators over the same servers in virtual time: one steers, the other takes its proxies over."""
+"""Measures the first ten seconds after a take-over: `python -m benchmarks.takeover [--quick]`, from the root.
+
+Two coordinators over the same servers in virtual time. One steers for half a minute; some
+servers fail every try, others start anew shortly before it ends; two seconds later its proxies join the
+other, whose list tells of the starts only later. With heard state, and in the same run without.
+"""
 
 from __future__ import annotations
 
+import argparse
 import random
+import statistics
+import sys
+from multiprocessing import Pool
+from pathlib import Path
 from typing import NamedTuple
 
-from operated import Operated
-from plain import S, entry, make_terms
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / "tests"))
+
+from operated import Operated  # noqa: E402
+from plain import S, entry, make_terms  # noqa: E402
 
-from ambershift import interface as api
-from ambershift.group.learned import Learned
-from ambershift.replication.heard.messages import Message, decode, encode
-from ambershift.replication.heard.store import Store
+from ambershift import interface as api  # noqa: E402
+from ambershift.group.learned import Learned  # noqa: E402
+from ambershift.replication.heard.messages import Message, decode, encode  # noqa: E402
+from ambershift.replication.heard.store import Store  # noqa: E402
 
 RATE = 10.0  # Flows a second of each proxy.
 DELAY = S // 5  # Of a word between members.
+SLACK = 1.25  # What a server gets over its part of all is no push, as zones differ and ill ones are out.
 
 
 class Numbered:
@@ -67,7 +81,9 @@
     def __init__(self, seed: int, use: bool, servers: int = 40, proxies: int = 16, ill: int = 4,
                  cold: int = 6, lag: int = 8 * S) -> None:
         self.rng, self.lag = random.Random(seed), lag
-        self.terms = make_terms(zones=2, cold=20 * S, cold_share=0.2, message_limit=0, waiting_limit=5000.0)
+        lines = max(1000.0, proxies * servers / 4)  # A channel that binds all within seconds.
+        self.terms = make_terms(zones=2, cold=20 * S, cold_share=0.2, message_limit=0, lines_per_s=lines,
+                                waiting_limit=5 * lines)
         entries = [entry(i, i % 2) for i in range(servers)]
         chosen = self.rng.sample(range(servers), ill + cold)
         self.ill, self.cold = set(chosen[:ill]), dict.fromkeys(chosen[ill:], 0)
@@ -95,26 +111,32 @@
     def reports(self, side: Side, count: bool) -> list[api.Event]:
         """A second of flows by the tables that the proxies hold."""
         events, met = list[api.Event](), dict[tuple[int, int], int]()
+        expected = dict[int, float]()
         for proxy, tables in side.proxies.items():
             lines = {one: side.tables[tables[0]][one] for one in side.reached(tables[0])} if tables else {}
-            came = int(RATE)
+            came, total = int(RATE), sum(lines.values())
             for server in self.rng.choices(list(lines), list(lines.values()), k=came) if lines else ():
                 met[proxy % 2, server] = met.get((proxy % 2, server), 0) + 1
+            for server, weight in lines.items():
+                expected[server] = expected.get(server, 0.0) + came * weight / total
             events.append(api.Usage(proxy, 0, came, 0, S))
         for (zone, server), tries in met.items():
             bad = tries if server in self.ill else 0
             events.append(api.Met(zone, server, tries, bad, 50_000_000, S, ()))
         if count:
-            usual = self.proxies * RATE / len(side.listed)
-            for server in {one for _, one in met}:
-                tries = sum(number for (_, one), number in met.items() if one == server)
-                age = side.now - self.cold.get(server, 0)
-                part = min(1.0, 0.2 + 0.8 * age / self.terms.cold)
-                failed, pushed, flows = self.outcome
-                self.outcome = Outcome(failed + tries * (server in self.ill), pushed + max(
-                    0.0, tries - max(2.0, 1.5 * part * usual)) * (part < 1), flows + tries)
+            self.count(side, met, expected)
         return events
 
+    def count(self, side: Side, met: dict[tuple[int, int], int], expected: dict[int, float]) -> None:
+        failed, pushed, flows = self.outcome
+        each = self.proxies * RATE / sum(one.weight for one in side.listed.values())
+        for server, at in self.cold.items():
+            part = min(1.0, 0.2 + 0.8 * (side.now - at) / self.terms.cold)
+            stands = SLACK * part * each * side.listed[server].weight
+            pushed += max(0.0, expected.get(server, 0.0) - stands)
+        failed += sum(tries for (_, server), tries in met.items() if server in self.ill)
+        self.outcome = Outcome(failed, pushed, flows + sum(met.values()))
+
     def second(self, alive: list[Side], count: bool = False, extra: tuple[api.Event, ...] = ()) -> None:
         self.now += S
         self.exchange(alive)
@@ -141,3 +163,43 @@
             fresh = (api.Listed(False, False, late),) if at * S == self.lag else ()
             self.second([b], True, fresh)
         return self.outcome
+
+
+# Servers, proxies, ill ones, those that start anew, and how late the list is.
+SCENES = {"40 servers, 4 ill, 6 cold": (40, 16, 4, 6, 8 * S), "nothing wrong": (40, 16, 0, 0, 8 * S),
+          "ill only": (40, 16, 6, 0, 8 * S), "cold only": (40, 16, 0, 10, 8 * S),
+          "cold, the list in time": (40, 16, 0, 10, 0),
+          "120 servers, 12 ill, 18 cold": (120, 40, 12, 18, 8 * S),
+          "400 servers, 40 ill, 60 cold": (400, 120, 40, 60, 8 * S)}
+
+
+def play(given: tuple[str, int, bool]) -> Outcome:
+    name, seed, use = given
+    return Takeover(seed, use, *SCENES[name]).play()
+
+
+def shown(found: list[float]) -> str:
+    return f"{statistics.fmean(found):.1f} ({min(found):.0f} to {max(found):.0f})"
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="two seeds, small scenes")
+    parser.add_argument("--seeds", type=int, default=12)
+    parser.add_argument("--workers", type=int, default=4)
+    given = parser.parse_args()
+    seeds = range(2 if given.quick else given.seeds)
+    print("| scene | flows | failed tries without | with | beyond what cold servers stand, without | with |\n"
+          + "| --- " * 6 + "|")
+    with Pool(given.workers) as pool:
+        for name, scene in SCENES.items():
+            if given.quick and scene[0] > 40:
+                continue
+            found = [pool.map(play, [(name, seed, use) for seed in seeds]) for use in (False, True)]
+            cells = [shown([getattr(one, field) for one in arm])
+                     for field in ("failed", "pushed") for arm in found]
+            print(f"| {name} | {found[0][0].flows} | " + " | ".join(cells) + " |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
