--- a/ambershift/maintenance/agreements.py
+++ b/ambershift/maintenance/agreements.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
-from math import ceil, floor
+from math import ceil
 from typing import NamedTuple
 
 from ambershift.maintenance.words import Permit, Refusal, Standing, Tenant, Trouble
@@ -49,8 +49,10 @@
 
 def worth(standing: Standing) -> int:
     """Its capacity in millionths: what neighbours take from it is not there."""
-    left = standing.weight * (1 - min(1.0, max(0.0, standing.interfered)))
-    return floor(left * FINE) if left > 0 else 0
+    left = standing.weight
+    if standing.interfered > 0:
+        left *= 1 - min(1.0, standing.interfered)
+    return int(left * FINE) if left > 0 else 0
 
 
 class Room:
--- a/ambershift/maintenance/board.py
+++ b/ambershift/maintenance/board.py
@@ -71,7 +71,8 @@
 
 def order(work: Work, place: int, standing: Standing) -> Order:
     # Work that is only asked for when it could be done pushes nobody.
-    rank = 2.0 if work.before == NEVER else -round(standing.interfered, 2)
+    hurt = standing.interfered
+    rank = 2.0 if work.before == NEVER else -round(hurt, 2) if hurt > 0 else 0.0
     return rank, work.before, -work.takes_ns, place, standing.server
 
 
@@ -80,12 +81,17 @@
     """The jobs, each a work, a server that is listed and a time, in groups; best first in each."""
     places = {work.name: place for place, work in enumerate(declared.works)}
     users, groups = Users(declared.tenants), dict[tuple[str, int, tuple[str, ...], bool], Group]()
+    known = dict[tuple[str, int, str, bool], Group]()  # By zone, so that tenants are looked at once a zone.
     for work, server, not_before in jobs:
         standing = servers[server]
-        tenants, here = users.of(standing.zone), usable(standing, at)
-        key = work.name, work.before, tuple(tenant.name for tenant in tenants), here
-        if (group := groups.get(key)) is None:
-            group = groups[key] = Group(work, tenants, spans.of(tenants), limits.whole(work.takes_ns))
+        here = usable(standing, at)
+        short = work.name, work.before, standing.zone, here
+        if (group := known.get(short)) is None:
+            tenants = users.of(standing.zone)
+            key = work.name, work.before, tuple(tenant.name for tenant in tenants), here
+            if (group := groups.get(key)) is None:
+                group = groups[key] = Group(work, tenants, spans.of(tenants), limits.whole(work.takes_ns))
+            known[short] = group
         group.jobs.append(Job(order(work, places[work.name], standing), work, server,
                               worth(standing) if here else 0, not_before))
     for group in groups.values():
--- a/ambershift/promises/steward.py
+++ b/ambershift/promises/steward.py
@@ -11,19 +11,21 @@
 
 import msgspec
 
-from ambershift.maintenance.agreements import Room, usable, worth
+from ambershift.maintenance.agreements import Room, Users, usable, worth
 from ambershift.maintenance.board import Board, Spans, make_groups
 from ambershift.maintenance.limits import MINUTE, SECOND, Limits
 from ambershift.maintenance.permits import Heard, all_drained, all_let_in, clock_apart, is_back
 from ambershift.maintenance.waves import Open, Plan, lay
 from ambershift.maintenance.windows import DAY
-from ambershift.maintenance.words import Permit, Phase, Standing, Trouble, Work
+from ambershift.maintenance.words import Permit, Phase, Standing, Tenant, Trouble, Work
 from ambershift.promises.rows import Row, permit_rows, plan_rows, stopped_row
 from ambershift.promises.state import NOTHING_DECLARED, Held, Promises
 from ambershift.promises.words import Command, Grant, Move
 
 SEND_AGAIN = 3 * SECOND  # A command that is lost is sent again; it stands once, whatever comes of it.
-GRANT_EVERY = SECOND  # Who may go next is looked for so often, as each look goes through the whole fleet.
+# Who may go next is looked for so often where nothing changed; each look goes through the whole fleet, so
+# that the largest are looked at less often: 2,000 servers once a second at most.
+GRANT_EVERY, LOOK_COSTS = SECOND, SECOND // 2000
 DAYS_AHEAD = 3 * DAY  # To know what fits now; the plan looks further, for whoever asks for it.
 DRAIN_MOST = 4  # Times as long as drains should take; then something is wrong with it.
 
@@ -42,7 +44,7 @@
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.sent = dict[str, tuple[int, int]]()  # By permit, "" for grants: what it stood on, and when.
-        self.spans, self.spans_of = Spans(0, DAYS_AHEAD), NOTHING_DECLARED
+        self.spans, self.spans_of, self.users = Spans(0, DAYS_AHEAD), NOTHING_DECLARED, Users(())
         self.granted_at, self.granted_on = -GRANT_EVERY, -1
         self.planned: tuple[int, int, list[Row]] | None = None
         self.drains: dict[str, tuple[int, int]] | None = None  # As granted, and as seen.
@@ -62,6 +64,7 @@
             return []  # Every member lets in what ends by its own clock; nothing depends on us here.
         if not self.spans.fresh(at) or self.spans_of != state.declared:
             self.spans, self.spans_of = Spans(at, DAYS_AHEAD), state.declared
+            self.users = Users(state.declared.tenants)
         self.drains = self.drains_seen(at, state)
         works = {work.name: work for work in state.declared.works}
         recalled = self.recalled(at, state, servers)
@@ -73,7 +76,8 @@
                 moves.append((held, move))
         if moves:
             return [move for held, move in moves if self.may_send(now, move.permit, held.number)]
-        if now < self.granted_at + GRANT_EVERY and self.granted_on == state.permits_touched:
+        pause = len(servers) * LOOK_COSTS + (GRANT_EVERY if self.granted_on == state.permits_touched else 0)
+        if now < self.granted_at + pause:
             return []
         self.granted_at, self.granted_on = now, state.permits_touched
         permits = self.next_wave(at, state, servers)
@@ -122,9 +126,8 @@
     def fits(self, at: int, permit: Permit, standing: Standing | None, ends: int, work: Work) -> bool:
         """Whether, with this end, it is back and warm before the opening closes and the work is due."""
         declared, limits = self.spans_of, self.limits
-        tenants = tuple(tenant for tenant in declared.tenants if (
-            tenant.name in permit.tenants if standing is None
-            else not tenant.zones or standing.zone in tenant.zones))
+        tenants = self.users.of(standing.zone) if standing is not None else tuple(
+            tenant for tenant in declared.tenants if tenant.name in permit.tenants)
         back = limits.let_in(ends) + limits.warm
         return back <= work.before and any(
             span.opens <= at and back + limits.clock_bound <= span.closes for span in self.spans.of(tenants))
@@ -158,6 +161,8 @@
     def next_wave(self, at: int, state: Promises, servers: Mapping[str, Standing]) -> tuple[Permit, ...]:
         """The servers that may all start now. What counts as out here counts so by any member's clock."""
         declared, limits = state.declared, self.limits
+        if not any(self.open_now(at, self.users.of(zone)) for zone in {one.zone for one in servers.values()}):
+            return ()
         jobs = [job for job in self.jobs(state) if job[1] in servers and job[2] <= at]
         if not jobs:
             return ()
@@ -172,6 +177,9 @@
                    job.work.name, job.server, Phase.DRAINING, at, at + limits.drain + job.work.takes_ns,
                    room.users_of(job.server), servers[job.server].weight) for job in chosen)
 
+    def open_now(self, at: int, tenants: tuple[Tenant, ...]) -> bool:
+        return any(span.opens <= at < span.closes for span in self.spans.of(tenants))
+
     def drains_seen(self, at: int, state: Promises) -> dict[str, tuple[int, int]]:
         """When each tenant last had a server drained, as granted and as seen. A grant may lie in the log for
         long before it is committed, so that the drain counts from when we saw it stand; a new leader counts
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -214,7 +214,8 @@
     assert leader.phases == {"a": "draining"} and leader.state.past["k", "b"] == (1, False, OPENS + 2 * S)
     # A new leader that has heard of nobody yet calls nothing back, and grants nothing.
     leader.steward = Steward(LIMITS)
-    leader.servers = {name: Standing(name, "z", 1.0, Trouble.UNKNOWN, 0) for name in "abcd"}
+    leader.servers = {name: Standing(name, "z", 1.0, Trouble.UNKNOWN if name != "a" else None, 0)
+                      for name in "abcd"}
     assert not leader.go(2 * S)
     leader.servers = dict(FOUR)
     for _ in range(120):
