Let no group be born with a member that knows of another

Seen: members that are all set back to an older version at once each set their folder aside as newer-version, start blank, and by the two rounds of blank answers give birth to an empty group: every promise lost with every folder whole.

Ruled out: starting halted, which would keep one of five from recovering by itself. Changed: a folder in which something was set aside, and nothing recovered since, opens as lost; such a replica, and one with anything committed, answers nobody that asks who is blank and is never born. It recovers as before. Guard taken out: the new test fails; a folder's being lost must last over starts, which the test of damaged folders asks at each damage.

--- a/ambershift/group/disk/folder.py
+++ b/ambershift/group/disk/folder.py
@@ -39,7 +39,8 @@
 
 
 class Opened(NamedTuple):
-    """`saved` None: the member is blank. `aside` names the files set aside, with `fault` and `why`."""
+    """`saved` None: the member is blank. `aside` names the files set aside, with `fault` and `why`. `lost`:
+    something was set aside here, now or before, and nothing has been recovered since."""
 
     saved: Saved | None
     incarnation: int
@@ -47,6 +48,7 @@
     why: str
     aside: tuple[str, ...]
     torn: int
+    lost: bool
 
 
 class Folder:
@@ -99,8 +101,10 @@
             self.write_beside(MARK, [both_slots(Mark(self.turn, self.generation, 0))])
         self.mark = self.files.open(MARK)
         self.rewrite()
-        return Opened(self.held.saved(before), self.incarnation, reading.fault, reading.why, aside,
-                      reading.torn)
+        saved = self.held.saved(before)
+        kept = saved is not None and bool(saved.view or saved.entries or saved.snapshot)
+        lost = not kept and any(".aside-" in name for name in self.files.names())
+        return Opened(saved, self.incarnation, reading.fault, reading.why, aside, reading.torn, lost)
 
     def append(self, writes: Sequence[Write]) -> None:
         """All of them under one sync. DiskError: none of them, nor any after, is vouched for."""
--- a/ambershift/group/life.py
+++ b/ambershift/group/life.py
@@ -23,12 +23,14 @@
 
 
 class Life(NamedTuple):
-    """`folder` None: nothing is kept on disk. `failed`: the disk can't be used, and no part is taken."""
+    """`folder` None: nothing is kept on disk. `failed`: the disk can't be used, and no part is taken. `lost`:
+    an earlier life's folder could not be vouched for."""
 
     incarnation: int
     saved: Saved | None
     folder: Folder | None
     failed: str
+    lost: bool = False
 
 
 def begin(spec: Spec, note: Note, least: int = 0, void: str = "") -> Life:
@@ -50,10 +52,10 @@
              reason=void or str(opened.fault))
     if opened.torn:
         note("folder_torn", bytes=opened.torn, why="the last write was cut short, and vouched for nothing")
-    return Life(opened.incarnation, opened.saved, folder, "")
+    return Life(opened.incarnation, opened.saved, folder, "", opened.lost)
 
 
 def replica_of(spec: Spec, machine: PromisesMachine, life: Life, now: int, seed: int) -> Replica:
-    given: dict[str, Any] = {"now": now, "noop": encode(Nothing())}
+    given: dict[str, Any] = {"now": now, "noop": encode(Nothing()), "lost": life.lost}
     return Replica(spec.me, spec.voters, spec.copies, machine, seed, life.incarnation, life.saved,
                    life.folder is not None, **given)
--- a/ambershift/replication/birth.py
+++ b/ambershift/replication/birth.py
@@ -22,7 +22,8 @@
         return
     core.ask_at = now + core.fixed.timing.ask
     if not others(core):
-        be_born(core, now, all_lives(core))
+        if core.barren:
+            be_born(core, now, all_lives(core))
         return
     if core.fetching is not None:
         return
@@ -36,8 +37,9 @@
         strange(core, sender, "voters")
         return
     if core.status is Status.BLANK and core.fixed.votes:
-        core.send(sender, Blank(incarnation=core.incarnation, view=0, asked=message.incarnation,
-                                round=message.round))
+        if core.barren:
+            core.send(sender, Blank(incarnation=core.incarnation, view=0, asked=message.incarnation,
+                                    round=message.round))
     elif core.fixed.votes:
         core.vouch(sender, Told(incarnation=core.incarnation, view=core.view, asked=message.incarnation,
                                 round=message.round, normal=core.status is Status.NORMAL, group=core.group,
@@ -64,7 +66,7 @@
 
 
 def on_blank(core: Core, now: int, sender: str, message: Blank) -> None:
-    if core.status is not Status.BLANK or message.asked != core.incarnation or message.round != core.round:
+    if not core.barren or message.asked != core.incarnation or message.round != core.round:
         return
     if sender not in core.fixed.voters:
         return
@@ -90,7 +92,7 @@
     learn_lives(core, birth)
     core.told.clear()
     core.blank_before, core.blank_now = {}, {}
-    core.status, core.view, core.sure = Status.NORMAL, 0, 0
+    core.status, core.view, core.sure = Status.NORMAL, 0, core.committed
     core.leader_heard = now
     if core.leader == core.fixed.me:
         start_leading(core, now)
--- a/ambershift/replication/core.py
+++ b/ambershift/replication/core.py
@@ -132,6 +132,7 @@
         self.blank_now: dict[str, int] = {}
         self.told: dict[str, tuple[int, int, int, Lives]] = {}  # Incarnation, view, number, lives.
         self.birth: Lives = ()
+        self.lost = False  # It has vouched in an earlier life, and can't tell for what.
         # Views.
         self.patience = 0
         self.suspecting = False
@@ -185,6 +186,12 @@
     def leading(self) -> bool:
         return self.status is Status.NORMAL and self.leader == self.fixed.me
 
+    @property
+    def barren(self) -> bool:
+        """Whether a group may be born with this member: not with one that knows of a group that there was, or
+        all that lose their folders in one hour would give birth to an empty one."""
+        return self.status is Status.BLANK and not self.lost and not self.committed
+
     @property
     def durable(self) -> int:
         return min(self.log.top, self.durable_top) if self.fixed.disk else self.log.top
--- a/ambershift/replication/replica.py
+++ b/ambershift/replication/replica.py
@@ -40,11 +40,13 @@
 class Replica:
     """One member's share in the log. `voters` are the same, in the same order, at all members: leaders follow
     from it. `incarnation` is higher than of any start before; `saved` is what the folder vouches for, None
-    where there is none or it was set aside. Times are ns; `noop` is the command that a new leader writes."""
+    where there is none or it was set aside; `lost` then tells that it has vouched in an earlier life, so that
+    it waits for others to recover from and no group is born with it. Times are ns; `noop` is the command that
+    a new leader writes."""
 
     def __init__(self, me: str, voters: Sequence[str], copies: Sequence[str], machine: Machine[Any],
                  seed: int, incarnation: int, saved: Saved | None, disk: bool, timing: Timing = PLAIN,
-                 now: int = 0, *, noop: bytes = b"") -> None:
+                 now: int = 0, *, noop: bytes = b"", lost: bool = False) -> None:
         if len(set(voters)) != len(voters) or len(voters) % 2 == 0 or len(voters) > 7:
             raise ValueError("1, 3, 5 or 7 voters")
         members = (*voters, *copies)
@@ -54,6 +56,7 @@
         core = self.core = Core(fixed, seed, incarnation)
         core.leader_heard = core.ask_at = now
         core.next_start = now
+        core.lost = lost
         views.new_patience(core)
         if saved is not None and (saved.view or saved.entries or saved.snapshot or not fixed.votes):
             self.take_saved(core, saved, now)  # One with nothing is as good as blank.
--- a/tests/test_group_disk.py
+++ b/tests/test_group_disk.py
@@ -157,6 +157,7 @@
     kept = {bytes(inode.seen) for inode in left.table.values()}
     assert opened.fault is None or before <= kept, "something was deleted or written over"
     assert (opened.fault is None) == (not opened.aside) and (opened.saved is None) >= bool(opened.fault)
+    assert opened.lost == bool(opened.fault) and reopened(left).lost == opened.lost  # Until it has recovered.
     return run, opened
 
 
@@ -283,7 +284,7 @@
 def test_the_thread_shares_syncs_tells_in_order_and_keeps_all(tmp_path: object) -> None:
     async def scene() -> None:
         folder = Folder(RealFiles(f"{tmp_path}/n1"), "archive", "n1")
-        assert folder.open(WALL) == Opened(None, WALL, None, "", (), 0)
+        assert folder.open(WALL) == Opened(None, WALL, None, "", (), 0, False)
         heard = Heard()
         disk = Disk(folder, heard, asyncio.get_running_loop())
         for one in WRITES:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -11,6 +11,7 @@
 from schedules import SMALL, history
 
 from ambershift.replication import birth, knowing, messages
+from ambershift.replication.log import Log
 from ambershift.replication.messages import Chunk, Have, Told, UnreadableError, decode, encode
 from ambershift.replication.replica import Replica
 from ambershift.replication.timing import MS, PLAIN
@@ -423,6 +424,25 @@
         assert one.status is status, (round_, lives)
 
 
+def test_no_group_is_born_with_one_that_knows_of_another() -> None:
+    alone = Replica("n1", ["n1"], [], Counting(), 1, 9, None, True, noop=b"noop", lost=True)
+    alone.due(0, WALL)
+    assert alone.status is Status.BLANK
+    one = Replica("n1", ["n1", "n2", "n3"], [], Counting(), 1, 9, None, True, noop=b"noop", lost=True)
+    ask = messages.Ask(incarnation=2, view=0, round=1, voters=("n1", "n2", "n3"))
+    for part in ({"lost": True}, {"lost": False, "log": Log(3), "committed": 3, "sure": 3}):
+        # The second recovered a part, then lost its source.
+        for name, value in part.items():
+            setattr(one.core, name, value)
+        assert not [effect for effect in one.hear(0, "n2", ask) if isinstance(effect, Send)], part
+        for round_ in (1, 2, 3):
+            for name in ("n2", "n3"):
+                one.hear(0, name, messages.Blank(incarnation=2, view=0, asked=9, round=round_))
+        assert one.status is Status.BLANK, part
+    one.core.log, one.core.committed, one.core.sure = Log(), 0, 0
+    assert [effect.message.round for effect in one.hear(0, "n2", ask) if isinstance(effect, Send)] == [1]
+
+
 @pytest.mark.parametrize("disk", [False, True])
 def test_a_new_leader_counts_itself_once_synced_and_commits_by_entries_of_its_own_view(disk: bool) -> None:
     saved = Saved("g", 4, 0, 0, 1, None, tuple(Entry(0, number, 0, "", b"") for number in (1, 2)))
