--- a/benchmarks/group.py
+++ b/benchmarks/group.py
@@ -19,7 +19,6 @@
 
 from ambershift.runtime.client import Client, ClientError
 from ambershift.standins.rig import Rig
-from ambershift.standins.world import server
 
 PROBE = str(Path(__file__).parent / "probe")
 
@@ -166,8 +165,7 @@
 async def measure_catching_up(quick: bool) -> None:
     head("Catching up", "servers with a wish | MB before | MB after | s from ready to all")
     for count in (100, 1000) if quick else (100, 1000, 5000):
-        rows = [server(at) for at in range(count)]
-        before, after, took = await with_rig(catch_up, 3, disk=True, listed=rows, rate=0.1)
+        before, after, took = await with_rig(catch_up, 3, disk=True, servers=count, rate=0.1)
         print(f"| {count} | {before:.0f} | {after:.0f} | {took:.2f} |", flush=True)
 
 
@@ -183,14 +181,13 @@
     head("Steps", "servers | group | runs | steps | p50 ms | p99 ms | wait p99 ms")
     os.environ["PYTHONPATH"] = PROBE
     for count in (30,) if quick else (30, 300):
-        rows = [server(at) for at in range(count)]
         found = dict[bool, list[tuple[float, float, float, int]]]()
         for turn in range(2 if quick else 4):
             for grouped in (False, True) if turn % 2 else (True, False):
                 with tempfile.TemporaryDirectory(prefix="steps-") as place:
                     os.environ["STEPS_FILE"] = f"{place}/%"
                     await with_rig(lambda rig: steps(rig, 8 if quick else 15), 3, disk=True, grouped=grouped,
-                                   listed=rows, proxies=24, rate=20.0)
+                                   servers=count, proxies=24, rate=20.0)
                     pairs = [tuple(map(int, line.split())) for file in Path(place).iterdir()
                              for line in file.read_text().splitlines()[20:]]
                 took, waited = [one[0] / 1e6 for one in pairs], [one[1] / 1e6 for one in pairs]
