Let a disk that hangs at the start hold up no steering, nor the end of the program

A front opens before the coordinator's parts run, and the folder was read within; with a log that never opens no proxy was steered, and the interpreter waited for the thread at its end.

--- a/ambershift/group/front.py
+++ b/ambershift/group/front.py
@@ -38,6 +38,7 @@
     from ambershift.interference.engine import Engine
 
 LEARN_EVERY = 1_000_000_000
+OPEN_WAIT = 3.0
 
 
 class GroupFront(RuntimeFront):
@@ -57,6 +58,7 @@
         self.learned = Learned(gossip.store, Known(coordinator.admit), coordinator.start.terms.cold,
                                self.now())
         self.learned_at = 0
+        self.opening: asyncio.Future[None] | None = None
         gossip.news.append(self.learned.heard)
         gossip.beats.append(self.learn)
         self.promises = Promises(self.member, door.ids.__getitem__)
@@ -91,17 +93,28 @@
         return self.member.gossip.clocks.apart(self.member.now())
 
     async def open(self) -> None:
-        try:
-            await self.member.open()
-        except NoFolderError as error:
-            raise BadStartError(f"key 'group.folder': {error}") from None
-        except OSError as error:
-            await self.member.close()
-            raise BadStartError(f"key 'group.listen': can't listen there ({error.strerror})") from None
+        """What is set wrongly ends the start; a disk that hangs must not hold up the steering."""
+        self.opening = asyncio.ensure_future(self.member.open())
+        await asyncio.wait({self.opening}, timeout=OPEN_WAIT)
+        if self.opening.done():
+            try:
+                self.opening.result()
+            except NoFolderError as error:
+                raise BadStartError(f"key 'group.folder': {error}") from None
+            except OSError as error:
+                await self.member.close()
+                raise BadStartError(f"key 'group.listen': can't listen there ({error.strerror})") from None
+        else:
+            self.coordinator.book.note("group_slow_start", why="the folder is not read yet; steering goes on")
+            self.opening.add_done_callback(self.opened_late)
         self.upkeep.open()
         self.counting.open()
         await super().open()
 
+    def opened_late(self, opening: asyncio.Future[None]) -> None:
+        if not opening.cancelled() and (error := opening.exception()) is not None:
+            self.member.halt("disk-failed", str(error)[:200])
+
     async def close(self) -> None:
         """What waits for a promise is answered, then the rest as without a group."""
         self.upkeep.close()
@@ -109,6 +122,8 @@
         self.member.stop()
         await asyncio.sleep(0)
         await super().close()
+        if self.opening is not None:
+            self.opening.cancel()
         await self.member.close()
 
 
--- a/ambershift/group/member.py
+++ b/ambershift/group/member.py
@@ -16,6 +16,7 @@
 from ambershift.group.links.links import Links
 from ambershift.group.links.wire import Close, Kind, Refused, UnreadableError
 from ambershift.group.links.words import failure
+from ambershift.group.offloop import off_loop
 from ambershift.group.spec import Spec
 from ambershift.promises.answers import decode, read_answer
 from ambershift.promises.machine import PromisesMachine
@@ -61,7 +62,7 @@
 
     async def live(self, least: int = 0, void: str = "") -> None:
         """Begin a life: as what the folder vouches for, or blank."""
-        self.life = await asyncio.to_thread(begin, self.spec, self.note, least, void)
+        self.life = await off_loop(begin, self.spec, self.note, least, void)
         self.halted = ("disk-failed", self.life.failed) if self.life.failed else None
         if self.halted:
             return
@@ -92,7 +93,7 @@
 
     async def end_disk(self) -> None:
         disk, self.disk = self.disk, None
-        if disk and not await asyncio.to_thread(disk.close):
+        if disk and not await off_loop(disk.close):
             self.note("disk_hangs")
 
     # What links tell
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -511,3 +511,20 @@
             rows = await rig.rows("n2", "show standing json")
             assert [row["server"] for row in rows] == ["east/s-0"]
     asyncio.run(play())
+
+
+def test_a_disk_that_hangs_at_the_start_holds_up_no_steering(place: Path) -> None:
+    """The folder's lock is a FIFO that nobody writes to: opening it never ends."""
+    import os
+
+    async def play() -> None:
+        folder = place / "n1" / "folder"
+        folder.mkdir(parents=True)
+        os.mkfifo(folder / "log")
+        async with Rig(place, 1) as rig:
+            member = rig.members["n1"]
+            await until(lambda: member.logged("group_slow_start"), 30)
+            await until(lambda: rig.fleet.proxies and all(one.steered for one in rig.fleet.proxies), 30)
+            assert (await rig.say("n1", "disable server east/s-0")).text.startswith("Refused (no-majority)")
+            assert await member.terminate() == 0
+    asyncio.run(play())
