--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -459,6 +459,24 @@
                 and isinstance(effect.message, messages.Vote)] == ["n2"] * votes
 
 
+def test_a_command_that_was_refused_is_not_written_when_it_comes_once_more() -> None:
+    class Moody(Counting):
+        mood = b"refused"
+
+        def judge(self, state: Any, at: int, command: bytes) -> bytes | None:
+            return self.mood or None
+
+    machine = Moody()
+    one = Replica("n1", ["n1", "n2", "n3"], [], machine, 1, 9, None, False, noop=b"noop")
+    birth.be_born(one.core, 0, ())
+    one.due(0, WALL)
+    for mood, view, attempt, top in ((b"refused", 0, 1, 1), (b"", 0, 1, 1), (b"", 3, 2, 1), (b"", 0, 2, 2)):
+        machine.mood = mood
+        one.hear(0, "n3", messages.Forward(incarnation=1, view=view, ticket=1, attempt=attempt, token="t",
+                                           command=b"x"))
+        assert one.core.log.top == top
+
+
 def test_what_a_member_said_in_an_earlier_life_counts_no_more() -> None:
     names = ("n1", "n2", "n3", "n4", "n5")
     one = Replica("n1", names, [], Counting(), 1, 9, None, False, noop=b"noop")
