--- a/ambershift/admin/overlay.py
+++ b/ambershift/admin/overlay.py
@@ -17,6 +17,8 @@
     lent = server in world.lent
     if wish.out and not lent:
         return entry._replace(phase=api.Phase.DRAINING)
+    if server in world.eased and not lent:
+        entry = entry._replace(weight=entry.weight * world.eased[server])
     if wish.weight is None:
         return entry
     weight = wish.weight.of(entry.weight)
@@ -35,3 +37,9 @@
     if wish.weight is None or warmth.warm(entry, now) or wish.weight.of(entry.weight) <= entry.weight:
         return None
     return warmth.warm_at(entry)
+
+
+def lower(entry: api.Entry, known: api.Entry) -> bool:
+    """Whether the first, told after the second, takes something away from proxies."""
+    return known.phase == api.Phase.READY and (
+        entry.phase != api.Phase.READY or entry.weight < known.weight)
--- a/ambershift/promises/words.py
+++ b/ambershift/promises/words.py
@@ -43,12 +43,17 @@
 
 
 class Move(msgspec.Struct, frozen=True, tag="move", array_like=True):
-    """A permit goes on to a later phase, or gets a later end; CLOSED gives it back."""
+    """A permit goes on to a later phase, or gets another end; CLOSED gives it back.
+
+    It stands if the permit itself has not changed since `based_on`, so that moves of several permits that
+    were judged by one state all stand. `done` says, on the way to RETURNING, that the work has had its time.
+    """
 
     based_on: int
     permit: str
     phase: Phase
     ends: int
+    done: bool = False
 
 
 class Answered(msgspec.Struct, frozen=True, tag="answered", array_like=True):
@@ -56,6 +61,7 @@
     `text` is that of the refused `Wishes`, and its digest the same."""
 
     text: str
+    reason: str
     answer: str
 
 
