--- a/ambershift/counters/worlds.py
+++ b/ambershift/counters/worlds.py
@@ -123,8 +123,8 @@
         for at in range(1, plan.slots):  # What a job does now hangs on what it did before.
             noise[:, at] = 0.5 * noise[:, at - 1] + 0.87 * noise[:, at]
         strays = (chance.random(shape) < 0.01) * chance.exponential(0.5, shape)
-        mean = np.nanmean(np.where(self.uses > 0, self.uses, np.nan), axis=1, keepdims=True)
-        own = plan.load * (np.nan_to_num(self.uses) / mean - 1.0)
+        used = np.nan_to_num(self.uses)
+        own = plan.load * (used / (used.sum(1) / np.maximum(1, (used > 0).sum(1)) + 1e-9)[:, None] - 1.0)
         cpi = self.log_base[:, None] + noise + strays + own
         for job in np.flatnonzero(chance.random(self.jobs) < plan.deploys):
             cpi[job, int(chance.integers(plan.slots)):] += chance.uniform(-0.15, 0.15)
@@ -156,7 +156,7 @@
         for node in range(self.plan.nodes):
             if f"node-{node}" not in self.lying:
                 rows = range(node * self.per_node, (node + 1) * self.per_node)
-                groups = [self.group[row] for row in rows if np.nanmax(self.uses[row]) > 0]
+                groups = [self.group[row] for row in rows if np.nan_to_num(self.uses[row]).max() > 0]
                 meet.update({(plant.victim, plant.culprit) for plant in self.plan.plants
                              if plant.victim in groups and plant.culprit in groups})
         return {pair for pair, count in meet.items() if count >= 2}
--- a/ambershift/interference/engine.py
+++ b/ambershift/interference/engine.py
@@ -66,6 +66,7 @@
         self._scored_at = 0
         self._scores = list[Score]()
         self._liars = frozenset[str]()
+        self._accused = frozenset[tuple[str, str]]()
         self._current = dict[str, Evidence]()  # By job, the newest of nodes that don't lie.
 
     def samples(self, now: int, given: Iterable[Sample]) -> int:
@@ -112,7 +113,7 @@
         made = list[Put]()
         ripe = [node for node in self._nodes.values() if node.ripe(now)]
         for node in ripe[:SLICE]:
-            block = node.look(now, self._held.normal)
+            block = node.look(now, self._held.normal, self._accused)
             self.unusable[Unusable.ALL_SLOW.value] += block.all_slow
             made += self._give(node, block.evidence)
         if not ripe:
@@ -174,6 +175,7 @@
             if now - one.at <= OLD * self.slot_ns and (place not in newest or one.at > newest[place].at):
                 newest[place] = one
         self._scores = scores(pairs(newest.values(), found))
+        self._accused = frozenset((one.victim, one.suspect) for one in self._scores if one.accused)
         self._current = {}
         for _, one in sorted(newest.items(), key=lambda item: item[0]):
             before = self._current.get(one.job)
--- a/ambershift/interference/node.py
+++ b/ambershift/interference/node.py
@@ -106,8 +106,9 @@
             use = np.where(figures[SPAN] > 0, figures[TASK] / figures[SPAN], np.nan)
         return slots, np.where(np.isfinite(cpi), cpi, np.nan), use
 
-    def look(self, now: int, normals: Normals) -> Block:
-        """Learn from the blocks that have ended, and find who suffers and what goes with it."""
+    def look(self, now: int, normals: Normals, accused: frozenset[tuple[str, str]] = frozenset()) -> Block:
+        """Learn from the blocks that have ended, and find who suffers and what goes with it. What a victim
+        needs while one who is `accused` of slowing it is busy is not its normal."""
         first = self.looked * BLOCK
         self.looked = min(self.newest, now // self.slot_ns - 3) // BLOCK
         slots, cpi, use = self.series()
@@ -121,13 +122,16 @@
                 limits[row] = one.threshold - one.middle
         slow = victims.all_slow(overs, limits)
         fresh = slots >= first
+        filled = present(use, slots)
+        busy = swings(filled)
+        calm = filled <= (np.nanmin(filled, axis=1, initial=np.inf) + busy / 2)[:, None]
         for name in names:
-            self._learn(self.jobs[name], slots, cpi, use, fresh & ~slow)
+            job = self.jobs[name]
+            harm = [other.row for other in self.jobs.values() if (job.group, other.group) in accused]
+            self._learn(job, slots, cpi, use, fresh & ~slow & calm[harm].all(0))
         lately = slots >= slots[-1] - victims.MINUTES * victims.SLOTS_A_MINUTE + 1 if len(slots) else fresh
         slow_now = bool(2 * slow[lately].sum() > lately.sum())
         kept = np.where(slow, np.nan, overs)
-        filled = present(use, slots)
-        busy = swings(filled)
         made = [self._evidence(name, slots, kept, filled, busy, overs, normal[name], slow_now)
                 for name in names]
         return Block(made, int((slow & fresh).sum()))
--- a/ambershift/interference/perfcsv.py
+++ b/ambershift/interference/perfcsv.py
@@ -115,10 +115,23 @@
         if len(self._left) > LINE_MOST:
             # What has no end in sight is given up now; its end comes as a line that can't be read.
             self._left = self._left[:LINE_MOST + 1]
+        if not self._known:
+            self._begin(lines, now)
         for raw in lines:
             found += self._line(raw, now)
         return found
 
+    def _begin(self, lines: list[bytes], now: int) -> None:
+        """The newest row tells when perf began: it was written just now, those before it earlier."""
+        for raw in reversed(lines):
+            try:
+                line = read_line(raw[:LINE_MOST].decode("utf-8", "replace"), self.job.cgroup)
+            except (ValueError, IndexError):
+                continue
+            if line is not None:
+                self.start, self._known, self._partial = now - line.stamp, True, True
+                return
+
     def _line(self, raw: bytes, now: int) -> list[Sample]:
         if len(raw) > LINE_MOST:
             self.took[Unusable.UNREADABLE] += 1
@@ -152,10 +165,10 @@
 
     def _align(self, stamp: int, now: int) -> None:
         """perf counts by its own clock: where that runs ahead of ours, or far behind, ours holds."""
-        if not self._known:
-            self.start, self._known, self._partial = now - stamp, True, True
-        elif not now - LATE_MOST <= self.start + stamp <= now + AHEAD_MOST:
+        if not now - LATE_MOST <= self.start + stamp <= now + AHEAD_MOST:
             self.start, self._bad = now - stamp, Unusable.SKEWED
+        else:
+            self.start = min(self.start, now - stamp)  # No row comes before its interval's end.
 
     def flush(self) -> list[Sample]:
         """The interval that is under way, as far as it came."""
@@ -189,7 +202,7 @@
         if min(known) < 0 or max(known[:3]) >= WRAP_LEAST:
             return Unusable.WRAPPED
         counted = min(line.counted for line in rows.values())
-        if not 0.0 <= counted <= 1.001:
+        if counted < 0.0 or max(line.counted for line in rows.values()) > 1.001:
             return Unusable.IMPOSSIBLE
         if counted < COUNTED_LEAST:
             return Unusable.TOO_LITTLE
--- a/ambershift/interference/records.py
+++ b/ambershift/interference/records.py
@@ -85,7 +85,7 @@
     """What a process that reads counters hands over: `encode` of a list of samples."""
     try:
         found = READ_SAMPLES.decode(payload)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise UnreadableError(str(error)) from None
     if len(found) > SAMPLES_MOST:
         raise UnreadableError(f"{len(found)} samples")
@@ -97,7 +97,7 @@
         raise UnreadableError("too-large")
     try:
         found = READ_EVIDENCE.decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise UnreadableError(str(error)) from None
     if found.version != VERSION:
         raise UnreadableError(f"version {found.version}")
@@ -115,7 +115,7 @@
         raise UnreadableError("too-large")
     try:
         found = READ_BASELINE.decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise UnreadableError(str(error)) from None
     if found.version != VERSION:
         raise UnreadableError(f"version {found.version}")
--- a/ambershift/interference/sift.py
+++ b/ambershift/interference/sift.py
@@ -32,7 +32,7 @@
     """None where it can be learned from; `told` is moved on. An idle job's sample, all 0, can."""
     figures = (sample.cycles, sample.instructions, sample.cache_misses, sample.task_ns)
     names = (sample.node, sample.kind, sample.job, sample.tenant)
-    if not all(names[:3]) or any(len(name) > NAME_MOST or "\n" in name for name in names):
+    if not all(names[:3]) or any(len(name) > NAME_MOST or "|" in name for name in names):
         return Unusable.UNREADABLE
     if not all(map(math.isfinite, (*figures, sample.counted))):
         return Unusable.IMPOSSIBLE
