--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import shutil
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -29,7 +30,9 @@
 from ambershift.replication.words import Reason as Why
 from ambershift.settings.model import read_text
 from ambershift.settings.tree import SettingsError
+from ambershift.standins.processes import Member as Process
 from ambershift.standins.rig import Rig
+from ambershift.standins.world import until
 
 READY, DRAIN, MAINT = State.READY, State.DRAIN, State.MAINT
 
@@ -261,6 +264,25 @@
     assert not member.desk.world.lent and member.shut >= {0, 1}
 
 
+def test_an_eased_server_keeps_its_part_and_gets_it_back() -> None:
+    member = Member(count=6)
+    member.apply(member.wish((2, {"weight": (0.5, True)}), *out(4)))
+    member.at_desk.ease({"s0": 0.8, "s2": 0.8, "s4": 0.8, "gone": 0.5})
+    member.settle()
+
+    def parts() -> list[float]:
+        return [member.desk.told[one].weight / entry(one, one % 2).weight for one in (0, 1, 2)]
+    assert parts() == pytest.approx([0.8, 1.0, 0.4])
+    assert 4 in member.shut
+    told = len(member.ordered)
+    member.at_desk.ease({"s0": 0.8, "s2": 0.8, "s4": 0.8})
+    member.settle()
+    assert not [one for one in member.ordered[told:] if isinstance(one, api.Share)]
+    member.at_desk.ease({})
+    member.settle()
+    assert parts() == pytest.approx([1.0, 1.0, 0.5])
+
+
 def test_how_servers_stand_for_maintenance() -> None:
     member = Member(count=8, cold=60 * S)
     member.apply(declare(0))
@@ -460,3 +482,32 @@
             assert {row["name"]: row["link"] for row in rows if row["name"] in (gone, rest[0])} == {
                 gone: "away", rest[0]: "away"}
     asyncio.run(play())
+
+
+def test_a_clone_is_told_by_name_and_the_newer_one_is_the_member(place: Path) -> None:
+    async def play() -> None:
+        async with Rig(place, 3) as rig:
+            await rig.settled()
+            one = rig.members["n2"]
+            listens = {**one.configuration, "listen": f"{rig.host}:7399"}
+            clone = Process("n2", place / "clone", listens, one.group.replace(":7101", ":7999"), "", True)
+            assert clone.folder
+            shutil.copytree(one.keep_copy("copy"), clone.folder)
+            await clone.start()
+            try:
+                await until(lambda: one.logged("group_halted"), 30)
+                assert one.logged("group_halted")[0]["reason"] == "superseded"
+                rows = {row["name"]: row for row in await rig.rows("n2", "show group json")}
+                assert rows["n2"]["state"] == "halted"
+                assert "superseded" in (rows["n1"]["link"], rows["n3"]["link"])
+                alone = await rig.say("n2", "disable server east/s-0")
+                assert alone.text.startswith("Refused (no-majority)") and "(superseded)" in alone.text
+                await rig.tell("n1", "disable server east/s-0")  # The rest goes on.
+            finally:
+                await clone.kill()
+            await one.kill()
+            await one.start()
+            await rig.settled()  # Newer than both.
+            rows = await rig.rows("n2", "show standing json")
+            assert [row["server"] for row in rows] == ["east/s-0"]
+    asyncio.run(play())
