Count a permit's server as out to the last end that any member may know

Drained early, a permit ends sooner than it was granted for. A member that has not heard of that holds the server out to the old end; the leader closed it by the new one, and let the next go: two out where one may be. Held keeps the latest end; closing without everybody's word waits for it.

--- a/ambershift/maintenance/agreements.py
+++ b/ambershift/maintenance/agreements.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from math import ceil
 from typing import NamedTuple
 
@@ -98,23 +98,20 @@
             self.shift(server, -1)
             del self.out[server]
 
-    def broken(self, names: Iterable[str] | None = None) -> Binds | None:
-        """The first agreement that does not hold as it stands, of these tenants or of all."""
-        chosen = None if names is None else set(names)
-        for tenant in self.tenants:
-            if chosen is not None and tenant.name not in chosen:
-                continue
-            if self.capacity[tenant.name] < self.needed[tenant.name]:
-                return Binds(Refusal.CAPACITY, tenant.name)
-            if self.outs[tenant.name] > tenant.agreement.out_most:
-                return Binds(Refusal.OUT_MOST, tenant.name)
+    def lacks(self, tenant: Tenant) -> Binds | None:
+        """What its agreement lacks as it stands."""
+        if self.capacity[tenant.name] < self.needed[tenant.name]:
+            return Binds(Refusal.CAPACITY, tenant.name)
+        if self.outs[tenant.name] > tenant.agreement.out_most:
+            return Binds(Refusal.OUT_MOST, tenant.name)
         return None
 
     def refuses(self, server: str) -> Binds | None:
         """What would not hold were it out too."""
         known = server in self.out
         self.take(server)
-        found = self.broken(self.out[server])
+        mine = self.users.of(self.servers[server].zone)
+        found = next((binds for tenant in mine if (binds := self.lacks(tenant)) is not None), None)
         if not known:
             self.give(server)
         return found
--- a/ambershift/promises/machine.py
+++ b/ambershift/promises/machine.py
@@ -176,7 +176,7 @@
         if permit.phase is not Phase.DRAINING or permit.ends <= permit.granted:
             return state, refused(Why.PHASE, f"{permit.id} does not begin with draining, or has ended")
         taken.add(permit.server)
-        permits = permits.insert(permit.id, Held(permit, number, False))
+        permits = permits.insert(permit.id, Held(permit, number, False, permit.ends))
         before = past.get((permit.work, permit.server), FRESH)
         past = past.insert((permit.work, permit.server),
                            before._replace(tries=before.tries + 1, granted=permit.granted))
@@ -213,6 +213,7 @@
     moved = msgspec.structs.replace(permit, phase=command.phase, ends=ends)
     if moved == permit and done == held.done:
         return state, Outcome(True)
-    state = state._replace(permits=state.permits.insert(permit.id, Held(moved, number, done)),
+    state = state._replace(permits=state.permits.insert(
+        permit.id, Held(moved, number, done, max(held.latest, ends))),
                            permits_touched=number)
     return state, Outcome(True, changed=(permit.id,))
--- a/ambershift/promises/state.py
+++ b/ambershift/promises/state.py
@@ -19,11 +19,15 @@
 
 
 class Held(NamedTuple):
-    """An open permit; `number` is the entry that changed it last, `done` whether the work had its time."""
+    """An open permit; `number` is the entry that changed it last, `done` whether the work had its time.
+
+    `latest` is the last `ends` that it ever had: a member that has not heard of a sooner one holds the server
+    out to there."""
 
     permit: Permit
     number: int
     done: bool
+    latest: int
 
 
 class Past(NamedTuple):
@@ -79,7 +83,7 @@
     version: int
     wishes: list[tuple[str, int, int, tuple[float, bool] | None, tuple[str, int, int]]]
     declared: Declared
-    permits: list[tuple[Permit, int, bool]]
+    permits: list[tuple[Permit, int, bool, int]]
     past: list[tuple[str, str, int, bool, int]]
     drains: list[tuple[str, int]]
     permits_touched: int
@@ -97,7 +101,7 @@
                None if wish.weight is None else (wish.weight.figure, wish.weight.relative),
                (wish.origin.who, wish.origin.at, wish.origin.number))
               for server, wish in sorted(state.wishes.items())]
-    permits = [(held.permit, held.number, held.done) for _, held in sorted(state.permits.items())]
+    permits = [(held.permit, held.number, held.done, held.latest) for _, held in sorted(state.permits.items())]
     past = [(*key, one.tries, one.done, one.granted) for key, one in sorted(state.past.items())]
     return msgspec.msgpack.encode(Packed(
         VERSION, wishes, state.declared, permits, past, sorted(state.drains.items()), state.permits_touched,
@@ -119,7 +123,7 @@
         raise UnreadableStateError(str(error)) from None
     return Promises(
         HashTrieMap(wishes), packed.declared,
-        HashTrieMap({permit.id: Held(permit, number, done) for permit, number, done in packed.permits}),
+        HashTrieMap({one[0].id: Held(*one) for one in packed.permits}),
         HashTrieMap({(work, server): Past(tries, done, granted)
                      for work, server, tries, done, granted in packed.past}),
         HashTrieMap(dict(packed.drains)),
--- a/ambershift/promises/steward.py
+++ b/ambershift/promises/steward.py
@@ -99,7 +99,9 @@
         permit, limits, on = held.permit, self.limits, state.permits_touched
         standing = servers.get(permit.server)
         if permit.phase is Phase.RETURNING:
-            if is_back(permit, standing, limits, at, held.done) and all_let_in(permit, heard, limits, at):
+            # Some may not have heard of a sooner end.
+            last = msgspec.structs.replace(permit, ends=held.latest)
+            if is_back(permit, standing, limits, at, held.done) and all_let_in(last, heard, limits, at):
                 return Move(on, permit.id, Phase.CLOSED, permit.ends, held.done)
             return None
         returning = Move(on, permit.id, Phase.RETURNING, permit.ends)
@@ -150,10 +152,8 @@
                  if permit.server in known and usable(known[permit.server], at)]
         helps.sort(key=lambda permit: (-worth(known[permit.server]), permit.id))
         for tenant in state.declared.tenants:
-            for permit in helps:
-                if permit.id in found or room.broken((tenant.name,)) is None:
-                    continue
-                if tenant.name in room.users_of(permit.server, permit):
+            for permit in helps if room.lacks(tenant) else ():
+                if permit.id not in found and tenant.name in room.out[permit.server] and room.lacks(tenant):
                     room.give(permit.server)
                     found.add(permit.id)
         return found
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -193,6 +193,18 @@
     assert leader.go(S) and not leader.phases
 
 
+def test_a_member_that_has_not_heard_of_a_sooner_end_holds_it_out_to_the_one_that_it_knows() -> None:
+    leader = Leader(OPENS + 2 * S)
+    leader.steward = Steward(LIMITS._replace(warm=0))
+    leader.go()
+    first = leader.state.permits["k/a/1"].permit.ends
+    leader.drained, leader.let_in = {"n1", "n2"}, {"n1"}
+    leader.go(S)
+    assert leader.state.permits["k/a/1"].permit.ends == first - 59 * S
+    assert leader.go(5 * M) and not leader.go(60 * S)
+    assert leader.go(S) and not leader.phases and leader.at == first + 2 * S
+
+
 def test_what_does_not_come_back_is_closed_and_counts_as_ill() -> None:
     leader = Leader(OPENS + 2 * S, Agreement(2.0, 1, 0, ()))
     leader.go()
