--- a/ambershift/promises/state.py
+++ b/ambershift/promises/state.py
@@ -101,7 +101,8 @@
                None if wish.weight is None else (wish.weight.figure, wish.weight.relative),
                (wish.origin.who, wish.origin.at, wish.origin.number))
               for server, wish in sorted(state.wishes.items())]
-    permits = [(held.permit, held.number, held.done, held.latest) for _, held in sorted(state.permits.items())]
+    permits = [(held.permit, held.number, held.done, held.latest)
+               for _, held in sorted(state.permits.items())]
     past = [(*key, one.tries, one.done, one.granted) for key, one in sorted(state.past.items())]
     return msgspec.msgpack.encode(Packed(
         VERSION, wishes, state.declared, permits, past, sorted(state.drains.items()), state.permits_touched,
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -187,9 +187,9 @@
     assert not leader.go(5 * S)
     leader.steers["n2"] = Steers(5, 0, 31 * S)
     assert leader.go(2 * S) and leader.phases == {"a": "out"}
-    ends = leader.state.permits["k/a/1"].permit.ends
-    assert leader.go(ends - leader.at) and leader.phases == {"a": "returning"}
-    assert not leader.go(S)  # By the clock of the silent one it may be out still.
+    held = leader.state.permits["k/a/1"]
+    assert leader.go(held.permit.ends - leader.at) and leader.phases == {"a": "returning"}
+    assert not leader.go(held.latest + S - leader.at)  # By the clock of the silent one it may be out still.
     assert leader.go(S) and not leader.phases
 
 
