--- a/ambershift/settings/model.py
+++ b/ambershift/settings/model.py
@@ -83,7 +83,8 @@
 
 # Blocks with a label: the key that the label stands for. All other blocks stand once, without labels.
 LABELLED = {"runtime.socket": "path", "runtime.tcp": "address", "group.member": "name", "tenant": "name",
-            "window": "name", "work": "name"}
+            "window": "name", "work": "name", "interference.source": "node",
+            "interference.source.job": "name"}
 
 
 def read_file(path: str) -> Root:
--- a/ambershift/standins/rig.py
+++ b/ambershift/standins/rig.py
@@ -87,7 +87,9 @@
         self.tasks = [asyncio.create_task(run()) for run in runs]
         try:
             await asyncio.gather(*(member.start() for member in self.members.values()))
-            await until(lambda: all(relay.followers for relay in self.fleet.relays.values()), 60.0)
+            relays = self.fleet.relays.values()
+            await until(lambda: all(relay.followers for relay in relays) or len(self.running()) < len(relays), 60)
+            assert len(self.running()) == len(relays), f"a member ended at its start\n{self.tail()}"
         except BaseException:
             await self.end()
             raise
--- /dev/null
+++ b/tests/test_group_counters.py
@@ -0,0 +1,47 @@
+"""Counter sources beside the members as processes: one that is lost takes nothing but its node's news."""
+
+from pathlib import Path
+
+import pytest
+from test_group_processes import group, holds, title
+
+from ambershift.standins.counting import Counting
+from ambershift.standins.rig import Rig
+
+pytestmark = pytest.mark.timeout(150)
+
+
+async def pairs(rig: Rig, name: str, nodes: int = 1) -> set[tuple[str, str]]:
+    """The pairs that this member has a score for, met at so many nodes at least."""
+    return {(row["victim"], row["suspect"]) for row in await rig.rows(name, "show interference json")
+            if row["nodes"] >= nodes}
+
+
+def test_a_counter_source_lost_holds_up_nothing_and_scores_come_back_to_a_member_that_lost_them(
+        tmp_path: Path) -> None:
+    made = list[Counting]()
+
+    def prepare(rig: Rig) -> None:
+        made.append(Counting(rig, "100ms", "batch:games:0.1"))
+        made[0].prepare()
+
+    async def act(rig: Rig) -> None:
+        counting = made[0]
+        await counting.start()
+        try:
+            async def pooled() -> bool:
+                return all([await pairs(rig, name, 2) for name in rig.names])
+            await rig.eventually(pooled, 60, "scores pooled over nodes at every member")
+            await counting.lose("n2")
+            await rig.kill("n3", wipe=True)
+            await rig.tell("n2", f"set weight {title(rig, 0)} 3")
+            assert await pairs(rig, "n2")  # What is known of a node does not go with its source.
+            await rig.start("n3")
+            await rig.settled()
+            await holds(rig, rig.names, title(rig, 0), "weight=3")
+            await rig.eventually(pooled, 60, "scores at the member that came back without any")
+            await counting.read("n2")
+            assert all(process.returncode is None for process in counting.readers.values())
+        finally:
+            await counting.end()
+    group(tmp_path, act, prepare=prepare)
--- a/tests/test_group_processes.py
+++ b/tests/test_group_processes.py
@@ -18,9 +18,11 @@
 pytestmark = pytest.mark.timeout(150)
 
 
-def group(place: Path, act: Act, count: int = 3, **words: Any) -> None:
+def group(place: Path, act: Act, count: int = 3, prepare: Callable[[Rig], None] = lambda rig: None,
+          **words: Any) -> None:
     async def whole() -> None:
-        async with asyncio.timeout(140), Rig(place, count, **words) as rig:
+        prepare(made := Rig(place, count, **words))
+        async with asyncio.timeout(140), made as rig:
             await rig.settled()
             await act(rig)
             for member in rig.members.values():
