--- a/ambershift/standins/counting.py
+++ b/ambershift/standins/counting.py
@@ -1,4 +1,4 @@
-"""Counter sources of the rig: a stand-in for perf that writes all nodes' files, and a reader beside each member."""
+"""Counter sources of the rig: a stand-in for perf that writes all files, and a reader beside each member."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
                 + (f'      tenant = "{tenant}"\n' if tenant else "") + "    }\n"
                 for node, name, tenant in zip(world.node, world.name, world.tenant, strict=True)
                 if node == f"node-{at}")
-            kind = next(one for node, one in zip(world.node, world.kind, strict=True) if node == f"node-{at}")
+            kind = world.kind[world.node.index(f"node-{at}")]
             member.extra += (f'interference {{\n  interval = "{self.interval}"\n  source "node-{at}" {{\n'
                              f'    kind = "{kind}"\n{jobs}  }}\n}}\n')
 
--- a/ambershift/standins/histories.py
+++ b/ambershift/standins/histories.py
@@ -16,6 +16,7 @@
 PAUSE = 0.02
 # By these names alone a member may not know; by all others nothing was written.
 UNKNOWN = ("(outcome-unknown)",)
+NOT_SENT = ("can't connect", "did not come up", "before the first answer")
 
 
 def judge(reply: Reply) -> Outcome:
@@ -46,7 +47,10 @@
             outcome = judge(reply)
             if reply.failed:
                 self.reasons[reply.text.partition(":")[0]] += 1
-        except ClientError:
+        except ClientError as error:
+            if any(words in str(error) for words in NOT_SENT):
+                self.reasons["not sent"] += 1
+                return Outcome.REFUSED
             outcome = Outcome.UNKNOWN
             self.reasons["no answer"] += 1
         returned = None if outcome is Outcome.UNKNOWN else time.monotonic_ns()
--- a/ambershift/standins/rig.py
+++ b/ambershift/standins/rig.py
@@ -88,7 +88,8 @@
         try:
             await asyncio.gather(*(member.start() for member in self.members.values()))
             relays = self.fleet.relays.values()
-            await until(lambda: all(relay.followers for relay in relays) or len(self.running()) < len(relays), 60)
+            await until(lambda: all(relay.followers for relay in relays)
+                        or len(self.running()) < len(relays), 60.0)
             assert len(self.running()) == len(relays), f"a member ended at its start\n{self.tail()}"
         except BaseException:
             await self.end()
@@ -231,6 +232,6 @@
             state = "runs" if member.running else "stopped" if member.alive else "dead"
             rows.append(f"{member.name} ({state}):")
             rows += [f"  {line}" for line in member.raw[-lines:]]
-            rows += [f"  {line}" for line in
+            rows += [f"  {str(line)[:400]}" for line in
                      [one for one in member.log if one.get("event") not in ("call", "totals")][-lines:]]
         return "\n".join(rows)
