--- a/ambershift/standins/counting.py
+++ b/ambershift/standins/counting.py
@@ -37,9 +37,10 @@
                              f'    kind = "{kind}"\n{jobs}  }}\n}}\n')
 
     async def start(self) -> None:
-        self.writer = await self.run("ambershift.counters.standin", "--folder", str(self.folder), "--interval",
-                                     self.interval, "--seed", str(self.seed), "--nodes",
-                                     str(len(self.rig.names)), "--plant", self.plant, "--slots", "100000")
+        self.writer = await self.run(
+            "ambershift.counters.standin", "--folder", str(self.folder), "--interval", self.interval,
+            "--seed", str(self.seed), "--nodes", str(len(self.rig.names)), "--plant", self.plant,
+            "--slots", "100000")
         await asyncio.gather(*(self.read(name) for name in self.rig.names))
 
     async def run(self, module: str, *words: str) -> asyncio.subprocess.Process:
