--- /dev/null
+++ b/ambershift/groupsim/process.py
@@ -0,0 +1,203 @@
+"""One member's process: the replica that runs, its folder and clocks, and what becomes of its effects."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from ambershift.groupsim.chance import Chance
+from ambershift.groupsim.folder import Folder
+from ambershift.groupsim.plan import SECOND
+from ambershift.groupsim.register import RegisterMachine, Registers
+from ambershift.replication.replica import Replica
+from ambershift.replication.timing import Timing
+from ambershift.replication.words import (
+    Answer,
+    Applied,
+    Effect,
+    Halt,
+    Note,
+    Reason,
+    Restored,
+    Send,
+    Status,
+    Write,
+)
+
+if TYPE_CHECKING:
+    from ambershift.groupsim.world import World
+
+START = 1_700_000_000 * SECOND
+INBOX_MOST = 64
+MACHINE = RegisterMachine()
+
+
+class Process:
+    def __init__(self, world: World, name: str, chance: Chance, drift: int) -> None:
+        self.world, self.name, self.chance, self.drift = world, name, chance, drift
+        self.voter = name in world.plan.voters
+        self.folder = Folder() if name in world.plan.folders else None
+        self.replica: Replica[Registers] | None = None
+        self.runs, self.incarnation, self.wall, self.ring_at = 0, 0, 0, -1
+        self.offset = chance.below(1 << 30)
+        self.stopped = False
+        self.inbox = list[tuple[str, int, str, Any]]()
+        self.newest = dict[str, int]()  # The incarnations that others were heard under.
+        self.behind = 0  # After an old copy: what it had vouched for; 0: its folder is what it was.
+        self.halted: Reason | None = None
+
+    # Clocks
+
+    def clock(self) -> int:
+        return self.offset + self.world.now * (1000 + self.drift) // 1000
+
+    def when(self, clock: int) -> int:
+        return -((self.offset - clock) * 1000 // (1000 + self.drift))
+
+    # Its life
+
+    def start(self) -> None:
+        self.runs += 1
+        self.world.starts += 1
+        saved = self.folder.saved() if self.folder is not None else None
+        self.incarnation, self.newest, self.halted = self.world.starts, {}, None
+        self.stopped, self.inbox, self.ring_at = False, [], -1
+        held = "its folder" if saved else "nothing"
+        self.world.tell(self.name, f"starts as incarnation {self.incarnation} with {held}")
+        self.replica = Replica(
+            self.name, self.world.plan.voters, self.world.plan.copies, MACHINE,
+            self.world.plan.seed * 1000 + self.incarnation, self.incarnation, saved,
+            self.folder is not None, Timing(), self.clock())
+        self.world.judge.started(self)
+        self.ring()
+
+    def crash(self, kept: int) -> None:
+        """`kept` in thousandths: how many of the writes under way got to the disk."""
+        self.world.tell(self.name, "crashes")
+        self.replica = None
+        self.runs += 1
+        if self.folder is not None:
+            self.folder.crash(len(self.folder.waiting) * kept // 1000)
+        for client in self.world.clients:
+            client.broke(self.name)
+        for other in self.world.processes.values():
+            if other is not self:
+                other.link_broke(self.name)
+
+    def stop(self, stopped: bool) -> None:
+        self.world.tell(self.name, "stands still" if stopped else "goes on")
+        self.stopped = stopped
+        if not stopped and self.replica is not None:
+            inbox, self.inbox = self.inbox, []
+            # Which comes first after a long stop, what waited or the clock, is chance.
+            if self.chance.hits(500):
+                self.ring(True)
+            for one in inbox:
+                self.hear(*one)
+            self.ring(True)
+
+    @property
+    def up(self) -> bool:
+        return self.replica is not None and not self.stopped and self.halted is None
+
+    def holds(self) -> bool:
+        """Whether it vouches for anything: in its memory, or in its folder while it is down."""
+        if self.behind:
+            return False
+        if self.replica is not None:
+            return self.replica.status is not Status.BLANK
+        return self.folder is not None and bool(self.folder.synced)
+
+    def group(self) -> str:
+        return self.replica.group if self.replica is not None else ""
+
+    # What happens to it
+
+    def hear(self, sender: str, incarnation: int, group: str, message: Any) -> None:
+        if self.replica is None or self.halted is not None:
+            return
+        if self.stopped:
+            if len(self.inbox) < INBOX_MOST:
+                self.inbox.append((sender, incarnation, group, message))
+            return
+        # What the hello of a link refuses: an older incarnation, another group.
+        if incarnation < self.newest.get(sender, 0) or group and self.group() not in ("", group):
+            self.world.count("refused by hello")
+            return
+        self.newest[sender] = incarnation
+        if self.world.traced:
+            self.world.tell(self.name, f"hears {sender}: {message}")
+        self.carry(self.replica.hear(self.clock(), sender, message))
+
+    def link_broke(self, other: str) -> None:
+        if self.up and self.replica is not None:
+            self.carry(self.replica.gone(self.clock(), other))
+
+    def ring(self, now: bool = False) -> None:
+        """Asks for the replica's next time, and calls it then."""
+        if not self.up or self.replica is None:
+            return
+        if now and self.replica.next_at <= self.clock():
+            self.carry(self.replica.due(self.clock(), START + self.world.now + self.wall))
+            return
+        when = max(self.when(self.replica.next_at), self.world.now)
+        if when != self.ring_at:
+            self.ring_at = when
+            self.world.at(when, self.rings, self.runs, when)
+
+    def rings(self, run: int, when: int) -> None:
+        if run == self.runs and when == self.ring_at:
+            self.ring_at = -1
+            self.ring(True)
+
+    def synced(self, run: int, folder: Folder, ticket: int) -> None:
+        if run == self.runs and self.replica is not None and folder is self.folder:
+            folder.sync(ticket)
+            if self.stopped:  # The disk is done; the process hears of it when it goes on.
+                self.world.at(self.world.now + SECOND // 10, self.synced, run, folder, ticket)
+                return
+            self.carry(self.replica.synced(self.clock(), ticket))
+
+    def submit(self, ticket: int, token: str, command: bytes, waits: int) -> None:
+        assert self.replica is not None
+        self.carry(self.replica.submit(self.clock(), START + self.world.now + self.wall, ticket, token, command,
+                                       self.clock() + waits))
+
+    def read(self, ticket: int, waits: int) -> None:
+        assert self.replica is not None
+        self.carry(self.replica.read(self.clock(), ticket, self.clock() + waits))
+
+    # What it does
+
+    def carry(self, effects: list[Effect]) -> None:
+        world = self.world
+        for effect in effects:
+            if isinstance(effect, Send):
+                world.network.send(self, effect.to, effect.message)
+            elif isinstance(effect, Write):
+                assert self.folder is not None, "a write without a folder"
+                self.folder.waiting.append(effect)
+                world.at(world.now + 1 + self.chance.below(world.network.weather.sync_ns), self.synced, self.runs,
+                         self.folder, effect.ticket)
+            elif isinstance(effect, Applied):
+                world.judge.applied(self, effect)
+            elif isinstance(effect, Restored):
+                world.judge.restored(self, effect)
+            elif isinstance(effect, Answer):
+                for client in world.clients:
+                    client.answered(effect)
+            elif isinstance(effect, Note):
+                world.tell(self.name, f"notes {effect.event} {effect.fields}")
+            elif isinstance(effect, Halt):
+                self.halts(effect)
+                return
+        self.ring()
+
+    def halts(self, halt: Halt) -> None:
+        self.world.tell(self.name, f"halts: {halt.reason} {halt.why}")
+        self.world.count(f"halted {halt.reason}")
+        self.halted = halt.reason
+        for client in self.world.clients:
+            client.broke(self.name)
+        if halt.reason is Reason.OLD_FOLDER and self.folder is not None:
+            self.folder, self.behind = Folder(), 0
+            self.start()
