--- a/ambershift/replication/core.py
+++ b/ambershift/replication/core.py
@@ -25,6 +25,9 @@
     Write,
 )
 
+GROUP = "group:"
+NEVER = 1 << 62
+
 
 class Want(NamedTuple):
     """A client's command or read at this member. `open`: attempts that may have reached a leader and were not
@@ -39,6 +42,10 @@
     place: int
     reason: str  # Why it was refused last.
 
+    @property
+    def due(self) -> int:
+        return self.until if self.place >= 0 else min(self.until, self.retry_at)
+
 
 class Fetching(NamedTuple):
     """What is being taken over from whom. `then` is what it is for."""
@@ -147,10 +154,16 @@
         self.was: tuple[int, Status] = (0, Status.BLANK)  # View and status after the last call.
         self.next_start = 0
         self.wants: dict[int, Want] = {}
+        self.want_at = NEVER  # Not later than the first of them is to be looked at.
+        self.served = 0  # Up to here reads that waited for a number were answered.
         # Gone with the call that made it.
         self.out: list[Effect] = []
         self.vouching: list[tuple[str, Message]] = []
 
+    def keep_want(self, ticket: int, want: Want) -> None:
+        self.wants[ticket] = want
+        self.want_at = min(self.want_at, want.due)
+
     # Who and where
 
     @property
@@ -347,11 +360,17 @@
             if row.name == self.fixed.me:
                 self.judge_myself(row)
                 continue
-            old = self.rows.get(row.name)
-            if old is None or mark(row) > mark(old):
-                self.rows[row.name] = row
+            self.learn_row(row)
             self.learn_life(row.name, row.incarnation)
 
+    def learn_row(self, row: Vouch) -> None:
+        """What a member vouches for never shrinks, over its starts too, but where its folder is behind: so the
+        most is kept, until it vouches for as much again."""
+        old = self.rows.get(row.name)
+        if old is None or (row.view >= old.view and (row.last, row.number) >= (old.last, old.number)
+                           and row.incarnation >= old.incarnation):
+            self.rows[row.name] = row
+
     def judge_myself(self, row: Vouch) -> None:
         if not self.fixed.votes:
             return
@@ -387,8 +406,3 @@
         return tuple(sorted(self.lives.items()))
 
 
-GROUP = "group:"
-
-
-def mark(row: Vouch) -> tuple[int, int, int, int, int]:
-    return row.incarnation, row.view, row.last, row.number, row.committed
