--- a/ambershift/groupsim/judge.py
+++ b/ambershift/groupsim/judge.py
@@ -128,13 +128,18 @@
         # Beyond the promise a group may be born anew, once all was lost: then each group has its history.
         for group in self.groups:
             whose = (group,) if len(self.groups) > 1 else (group, NEWBORN)
-            found = check(one if by in whose or one.outcome is not Outcome.DONE else one._replace(outcome=Outcome.UNKNOWN)
+            found = check(one if by in whose else unsure(one)
                           for one, by in zip(self.history, self.served, strict=True)
                           if by in whose or one.kind is not Kind.READ)
             if found is not None:
                 raise WrongError("; ".join(found.lines()))
 
 
+def unsure(one: Operation) -> Operation:
+    """As another group sees it, in which an earlier try of it may have had its effect."""
+    return one._replace(outcome=Outcome.UNKNOWN) if one.outcome is Outcome.DONE else one
+
+
 def vouches(process: Process, number: int, token: str) -> bool:
     """Whether the entry is in its folder, or in its memory where it has none."""
     if process.folder is not None:
--- a/ambershift/groupsim/process.py
+++ b/ambershift/groupsim/process.py
@@ -93,7 +93,7 @@
         self.stopped = stopped
         if not stopped and self.replica is not None:
             inbox, self.inbox = self.inbox, []
-            if self.told_late:
+            if self.told_late and self.folder is not None:
                 ticket, self.told_late = self.told_late, 0
                 self.synced(self.runs, self.folder, ticket)
             # Which comes first after a long stop, what waited or the clock, is chance.
--- /dev/null
+++ b/ambershift/modelcheck/models/replication.py
@@ -0,0 +1,351 @@
+"""Three voters, a few commands and reads, and what the network and restarts do to them.
+
+Driven: `replication/`, all of it. One step is one event at a member with all that follows of it: who hears
+whom until nothing is left to say is part of the step, and what does not get through is lost, or comes late.
+Time stands still: whatever could be due is, and a member may lose patience whenever it is asked to.
+"""
+
+from __future__ import annotations
+
+import io
+import pickle
+from collections import deque
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from ambershift.groupsim.folder import Folder
+from ambershift.groupsim.register import RegisterMachine
+from ambershift.modelcheck.model import Base, Property, Step
+from ambershift.replication.replica import Replica
+from ambershift.replication.timing import STILL
+from ambershift.replication.words import Answer, Applied, Effect, Halt, Reason, Restored, Send, Status, Write
+
+VOTERS = ("n1", "n2", "n3")
+PLACES = range(len(VOTERS))
+MACHINE = RegisterMachine()
+LONG = 1 << 61
+MESSAGES_MOST, MAIL_MOST = 150, 6
+Ways = frozenset[tuple[int, int]]
+ALL: Ways = frozenset((one, other) for one in PLACES for other in PLACES if one != other)
+
+
+class Letter(NamedTuple):
+    """A message that comes late."""
+
+    sender: int
+    to: int
+    incarnation: int
+    message: bytes
+
+
+class Want(NamedTuple):
+    """What a client waits for; for a read, what was acknowledged before it was asked."""
+
+    ticket: int
+    token: str
+    before: tuple[str, ...]
+
+
+class World(NamedTuple):
+    """`members` are the replicas, frozen; `folders` what each has written and synced. `log` is by number the
+    view and the token that were applied there first. `forgot` is up to where each held the log in a life
+    before. `wrong` is a property's name and why."""
+
+    members: tuple[bytes, ...]
+    folders: tuple[bytes, ...]
+    forgot: tuple[int, ...]
+    mail: tuple[Letter, ...]
+    log: tuple[tuple[int, str], ...]
+    acked: tuple[str, ...]
+    wants: tuple[Want, ...]
+    starts: int
+    writes: int
+    reads: int
+    calls: int
+    restarts: int
+    lates: int
+    wrong: tuple[str, str]
+
+
+def packed(value: Any) -> bytes:
+    """The same bytes for equal values: nothing in it is told by what it shares."""
+    out = io.BytesIO()
+    pickler = pickle.Pickler(out)
+    pickler.fast = True
+    pickler.dump(value)
+    return out.getvalue()
+
+
+class Table:
+    """The world thawed for one step."""
+
+    def __init__(self, world: World, folders: bool) -> None:
+        self.world, self.with_folders = world, folders
+        self.replicas = dict[int, Replica]()
+        self.folders = dict[int, list[Write]]()
+        self.log, self.acked, self.wants = list(world.log), list(world.acked), list(world.wants)
+        self.forgot, self.mail, self.wrong = list(world.forgot), list[Letter](world.mail), world.wrong
+        self.starts = world.starts
+        self.line = deque[tuple[int, int, Any]]()
+        self.unsynced = -1  # Whose next write never gets to the disk: it dies before.
+        self.died = False
+
+    def replica(self, place: int) -> Replica:
+        if place not in self.replicas:
+            self.replicas[place] = Replica.thaw(
+                VOTERS[place], VOTERS, (), MACHINE, self.with_folders, STILL,
+                pickle.loads(self.world.members[place]))
+        return self.replicas[place]
+
+    def folder(self, place: int) -> list[Write]:
+        if place not in self.folders:
+            self.folders[place] = list(pickle.loads(self.world.folders[place]))
+        return self.folders[place]
+
+    def done(self, **changes: Any) -> World:
+        members, folders = list(self.world.members), list(self.world.folders)
+        for place, replica in self.replicas.items():
+            members[place] = packed(replica.freeze())
+        for place, writes in self.folders.items():
+            folders[place] = packed(tuple(writes))
+        return self.world._replace(
+            members=tuple(members), folders=tuple(folders), forgot=tuple(self.forgot), mail=tuple(self.mail),
+            log=tuple(self.log), acked=tuple(self.acked), wants=tuple(self.wants), starts=self.starts,
+            wrong=self.wrong, **changes)
+
+    def fails(self, name: str, why: str) -> None:
+        self.wrong = self.wrong if self.wrong[0] else (name, why)
+
+    # What becomes of effects
+
+    def carry(self, place: int, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.line.append((place, VOTERS.index(effect.to), effect.message))
+            elif isinstance(effect, Write):
+                if place == self.unsynced:
+                    self.died, self.unsynced = True, -1
+                    self.start(place, True)
+                    return
+                self.folder(place).append(effect)
+                self.carry(place, self.replica(place).synced(0, effect.ticket))
+            elif isinstance(effect, Applied):
+                self.applied(place, effect)
+            elif isinstance(effect, Restored):
+                if effect.state.twice:
+                    self.fails("no-effect-twice", f"{effect.state.twice} has its effect twice")
+            elif isinstance(effect, Answer):
+                self.answered(place, effect)
+            elif isinstance(effect, Halt):
+                if effect.reason is Reason.OLD_FOLDER:
+                    self.start(place, False)
+                return
+
+    def start(self, place: int, kept: bool) -> None:
+        """Anew, with what its folder has synced if `kept`."""
+        self.forgot[place] = max(self.forgot[place], self.replica(place).core.log.top)
+        if not kept:
+            self.folders[place] = []
+        folder = Folder()
+        folder.synced = self.folder(place) if self.with_folders else []
+        self.starts += 1
+        self.replicas[place] = Replica(VOTERS[place], VOTERS, (), MACHINE, self.starts, self.starts,
+                                       folder.saved(), self.with_folders, STILL, 0)
+
+    def applied(self, place: int, effect: Applied[Any]) -> None:
+        entry, number = effect.entry, effect.entry.number
+        if number <= len(self.log):
+            if self.log[number - 1] != (entry.view, entry.token):
+                self.fails("one-order", f"place {number} is {entry.token or 'empty'} of view {entry.view} at "
+                                        f"{VOTERS[place]}, {self.log[number - 1]} elsewhere")
+        else:
+            self.log.append((entry.view, entry.token))
+        if effect.state.twice:
+            self.fails("no-effect-twice", f"{effect.state.twice} has its effect twice")
+
+    def answered(self, place: int, answer: Answer) -> None:
+        want = next((one for one in self.wants if one.ticket == answer.ticket), None)
+        if want is None:
+            return
+        self.wants.remove(want)
+        if answer.reason is not None:
+            return
+        if want.token:
+            holders = [one for one in PLACES if self.holds(one, want.token)]
+            if len(holders) < 2:
+                self.fails("acknowledged-is-held", f"{want.token} is acknowledged, held by {holders}")
+            self.acked.append(want.token)
+            return
+        missing = [one for one in want.before if one not in self.replica(place).state.effects]
+        if missing:
+            self.fails("reads-are-not-stale", f"a read at {VOTERS[place]} lacks {missing}")
+
+    def holds(self, place: int, token: str) -> bool:
+        """In its log, which may have been on its way from there; or in a life before."""
+        core = self.replica(place).core
+        number = next((at for at, one in enumerate(self.log, 1) if one[1] == token), 0)
+        if self.with_folders:
+            return any(entry.token == token for write in self.folder(place) for entry in write.entries)
+        return any(entry.token == token for entry in core.log.entries) or 0 < number <= self.forgot[place]
+
+    # What is said
+
+    def exchange(self, ways: Ways, late: bool = False) -> None:
+        """All that gets through, until nothing new is said; a repeat changes nothing and is left out."""
+        said, count = set[tuple[int, int, Any]](), 0
+        while self.line and count < MESSAGES_MOST:
+            sender, to, message = self.line.popleft()
+            if (sender, to) not in ways:
+                if late and len(self.mail) < MAIL_MOST:
+                    self.mail.append(Letter(sender, to, message.incarnation, packed(message)))
+                continue
+            mark = sender, to, message
+            if mark in said:
+                continue
+            said.add(mark)
+            count += 1
+            self.hear(sender, to, message)
+        self.line.clear()
+
+    def hear(self, sender: int, to: int, message: Any) -> None:
+        self.carry(to, self.replica(to).hear(0, VOTERS[sender], message))
+
+
+def broken(name: str, sentence: str) -> Property:
+    def check(world: World) -> str | None:
+        return world.wrong[1] if world.wrong[0] == name else None
+    return Property(name, sentence, check)
+
+
+class ReplicationModel(Base):
+    name = "replication"
+    sentence = "three voters without folders: commands, reads, lost patience, one that forgets, cuts"
+    kind = World
+    properties = (
+        broken("one-order", "No two members apply different entries in one place."),
+        broken("acknowledged-is-held", "What is acknowledged lies with a majority of the voters then."),
+        broken("no-effect-twice", "No token has its effect twice."),
+        broken("reads-are-not-stale", "A read has all that was acknowledged before it was asked."),
+    )
+    depth: int | None = 4
+    folders = False
+    writes, reads, calls, restarts, lates = 2, 1, 3, 1, 0
+
+    def initial(self) -> World:
+        table = Table(World((b"",) * 3, (packed(()),) * 3, (0,) * 3, (), (), (), (), 0, self.writes, self.reads,
+                            self.calls, self.restarts, self.lates, ("", "")), self.folders)
+        for place in PLACES:
+            table.starts += 1
+            table.replicas[place] = Replica(VOTERS[place], VOTERS, (), MACHINE, place, table.starts, None,
+                                            self.folders, STILL, 0)
+        for place in (0, 1, 2, 0):  # Born; the last call tells all what is committed.
+            table.carry(place, table.replica(place).due(0, 0))
+            table.exchange(ALL)
+        assert all(one.status is Status.NORMAL and one.committed == 1 for one in table.replicas.values())
+        return table.done()
+
+    def ways(self, place: int) -> Iterator[tuple[str, Ways]]:
+        one, other = (at for at in PLACES if at != place)
+        yield "all hear", ALL
+        for near in (one, other):
+            yield f"{VOTERS[near]} hears and is heard", frozenset(((place, near), (near, place)))
+            yield f"{VOTERS[near]} hears", frozenset(((place, near),))
+
+    def steps(self, world: World) -> Iterator[Step[World]]:
+        if world.wrong[0]:
+            return
+        if world.lates < self.lates:
+            yield from self.late(world)
+        for place in PLACES:
+            if world.calls:
+                for name, ways in self.ways(place):
+                    for late in (False, True)[:1 + bool(world.lates)]:
+                        table = Table(world, self.folders)
+                        table.carry(place, table.replica(place).due(0, 0))
+                        table.exchange(ways, late)
+                        yield Step(f"{VOTERS[place]}: its time has come; {name}{', the rest late' * late}",
+                                   table.done(calls=world.calls - 1, lates=world.lates - late))
+            if world.writes:
+                yield from self.write(world, place)
+            if world.reads:
+                for name, ways in list(self.ways(place))[:4:1]:
+                    table = Table(world, self.folders)
+                    table.wants.append(Want(100 + world.reads, "", world.acked))
+                    table.carry(place, table.replica(place).read(0, 100 + world.reads, LONG))
+                    table.exchange(ways)
+                    yield Step(f"{VOTERS[place]}: is asked to read; {name}", table.done(reads=world.reads - 1))
+        if world.restarts:
+            yield from self.starts_anew(world)
+
+    def write(self, world: World, place: int) -> Iterator[Step[World]]:
+        ticket, tokens = 10 + world.writes, ["t"]
+        if world.writes < self.writes:
+            tokens.append("u")  # The same token again, or another.
+        for token in tokens:
+            for name, ways in (*self.ways(place), ("nobody hears", frozenset[tuple[int, int]]())):
+                for unsynced in (-1, *(PLACES if self.folders and world.restarts else ())):
+                    table = Table(world, self.folders)
+                    table.unsynced = unsynced
+                    table.wants.append(Want(ticket, token, ()))
+                    table.carry(place, table.replica(place).submit(0, 0, ticket, token, b"a=" + token.encode(),
+                                                                   LONG))
+                    table.exchange(ways)
+                    if unsynced >= 0 and not table.died:
+                        continue
+                    died = f", {VOTERS[unsynced]} dies before its disk has it" if table.died else ""
+                    yield Step(f"{VOTERS[place]}: is asked to write {token}; {name}{died}",
+                               table.done(writes=world.writes - 1, restarts=world.restarts - table.died))
+
+    def starts_anew(self, world: World) -> Iterator[Step[World]]:
+        blank = [place for place in PLACES if Table(world, self.folders).replica(place).status is Status.BLANK]
+        for place in PLACES:
+            if not self.folders and blank and place not in blank:
+                continue
+            table = Table(world, self.folders)
+            table.start(place, self.folders)
+            yield Step(f"{VOTERS[place]}: starts anew with {'its folder' if self.folders else 'nothing'}",
+                       table.done(restarts=world.restarts - 1))
+            if self.folders and len(table.folder(place)) > 1:
+                table = Table(world, True)
+                table.folder(place).pop()
+                table.start(place, True)
+                yield Step(f"{VOTERS[place]}: starts anew with an older folder",
+                           table.done(restarts=world.restarts - 1))
+
+    def late(self, world: World) -> Iterator[Step[World]]:
+        for at, letter in enumerate(world.mail):
+            for name, ways in (("all hear", ALL), ("nobody hears", frozenset[tuple[int, int]]())):
+                table = Table(world, self.folders)
+                del table.mail[at]
+                message = pickle.loads(letter.message)
+                table.hear(letter.sender, letter.to, message)
+                table.exchange(ways)
+                yield Step(f"{VOTERS[letter.to]}: hears late {type(message).__name__} of "
+                           f"{VOTERS[letter.sender]}; {name}", table.done())
+
+    def show(self, world: World) -> list[str]:
+        table = Table(world, self.folders)
+        told = []
+        for place in PLACES:
+            core = table.replica(place).core
+            entries = " ".join(f"{one.number}:{one.token.split(':')[0] or '-'}@{one.view}" for one in core.log.entries)
+            told.append(f"{VOTERS[place]}: {core.status.value}, view {core.view}, incarnation {core.incarnation}, "
+                        f"committed {core.committed} of {entries}")
+        told.append(f"acknowledged: {' '.join(world.acked) or 'nothing'}; waiting: "
+                    f"{' '.join(one.token or 'read' for one in world.wants) or 'nobody'}")
+        return told
+
+
+class ReplicationFolders(ReplicationModel):
+    name = "replication-folders"
+    sentence = "three voters with folders: as above, with crashes before a write is synced"
+    folders = True
+    writes, reads, calls, restarts = 2, 0, 2, 1
+    depth = 3
+
+
+class ReplicationLate(ReplicationModel):
+    name = "replication-late"
+    sentence = "three voters without folders: as above, with messages that come late"
+    writes, reads, calls, restarts, lates = 2, 0, 3, 0, 1
+    depth = 3
