--- a/ambershift/replication/following.py
+++ b/ambershift/replication/following.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ambershift.replication.applying import append, commit_to, install, packed
+from ambershift.replication.applying import append, commit_to, install, piece
 from ambershift.replication.birth import recovered, start_again, strange
 from ambershift.replication.core import Core, Fetching
 from ambershift.replication.knowing import learn_rows
@@ -54,10 +54,12 @@
         core.note("group-unfit", member=sender)
         return
     if message.after <= core.sure or core.log.view_at(message.after) == message.after_view:
-        append(core, message.entries)
+        if not append(core, message.entries):
+            return
         core.sure = max(core.sure, message.after + len(message.entries))
         commit_to(core, message.committed)
-        have(core, 0)
+        if not core.fixed.disk:  # Else once it is synced.
+            have(core, 0)
     else:
         fetch(core, now, sender)
 
@@ -107,12 +109,11 @@
                                 offset=0, total=0, data=b""))
         return
     assert core.snapshot is not None
-    data = packed(core)
     offset = message.offset if message.snapshot == core.snapshot.number else 0
+    total, data = piece(core, offset)
     core.send(sender, Chunk(incarnation=core.incarnation, view=core.view, group=core.group, after=after,
                             entries=(), top=core.log.top, committed=core.committed,
-                            snapshot=core.snapshot.number, offset=offset, total=len(data),
-                            data=data[offset:offset + timing.chunk_bytes]))
+                            snapshot=core.snapshot.number, offset=offset, total=total, data=data))
 
 
 def on_chunk(core: Core, now: int, sender: str, message: Chunk) -> None:
@@ -123,7 +124,8 @@
         if not take_piece(core, message):
             return
     elif message.after <= core.sure and in_order(message.after, message.entries):
-        append(core, message.entries)
+        if not append(core, message.entries):
+            return
         core.sure = max(core.sure, message.after + len(message.entries))
     else:
         return
@@ -149,12 +151,17 @@
     task = core.fetching
     assert task is not None
     data = task.data if message.snapshot == task.snapshot else b""
-    if message.offset != len(data):
+    if message.offset != len(data) or message.total > core.fixed.timing.state_bytes:
         return False
     data += message.data
     core.fetching = task._replace(snapshot=message.snapshot, data=data)
     if len(data) < message.total:
         return True
     core.fetching = core.fetching._replace(snapshot=0, data=b"")
-    install(core, msgspec.msgpack.decode(data, type=Snapshot), message.group)
+    try:
+        snapshot = msgspec.msgpack.decode(data, type=Snapshot)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        core.note("group-unfit", member=task.source)
+        return False
+    install(core, snapshot, message.group)
     return True
