--- a/ambershift/modelcheck/registry.py
+++ b/ambershift/modelcheck/registry.py
@@ -23,7 +23,10 @@
 from ambershift.modelcheck.models.row import RowLarge, RowModel
 
 # Those that are not checked where none is named: for a machine with time, or parts of others.
-BESIDES = {"replication-late", "replication-large", "news-small", "attempt-one-table", "row-large", "news-large", "attempt-apart", "attempt-large"}
+BESIDES = {
+    "replication-late", "replication-large", "news-small", "attempt-one-table", "row-large", "news-large",
+    "attempt-apart", "attempt-large",
+}
 
 
 def models() -> dict[str, Model]:
