--- a/ambershift/modelcheck/mutants/__init__.py
+++ b/ambershift/modelcheck/mutants/__init__.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from ambershift.modelcheck.mutants import admin, attempt, collector, news, policy, replication, row
+from ambershift.modelcheck.mutants import admin, attempt, collector, news, permits, policy, replication, row
 from ambershift.modelcheck.mutants.words import Mutant, broken
 
 __all__ = ["MUTANTS", "SIMULATED", "Mutant", "broken", "by_name", "simulated"]
 
 MUTANTS: tuple[Mutant, ...] = (
     *row.MUTANTS, *news.MUTANTS, *collector.MUTANTS, *admin.MUTANTS, *attempt.MUTANTS, *policy.MUTANTS,
-    *replication.MUTANTS)
+    *replication.MUTANTS, *permits.MUTANTS)
 SIMULATED: tuple[Mutant, ...] = replication.SIMULATED
 
 
--- /dev/null
+++ b/ambershift/modelcheck/mutants/permits.py
@@ -0,0 +1,69 @@
+"""Broken permits."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ambershift.maintenance.limits import Limits
+from ambershift.maintenance.words import Phase
+from ambershift.modelcheck.mutants.words import Mutant
+from ambershift.promises import machine, steward
+from ambershift.promises.state import Held, Promises
+from ambershift.promises.steward import Steward
+from ambershift.promises.words import Grant, Move
+
+
+def judged_by_anything(real: Any) -> Any:
+    """A grant stands whatever was granted since it was judged."""
+    def grant(state: Promises, number: int, at: int, command: Grant) -> Any:
+        return real(state, number, at, msgspec.structs.replace(command, based_on=state.permits_touched))
+    return grant
+
+
+def no_bound(real: Any) -> Any:
+    """What has ended by our clock counts as let in by all."""
+    return lambda self, ends: ends
+
+
+def done_is_dropped(real: Any) -> Any:
+    def move(state: Promises, number: int, command: Move) -> Any:
+        held = state.permits.get(command.permit)
+        if held is not None:
+            permits = state.permits.insert(command.permit, held._replace(done=False))
+            state = state._replace(permits=permits)
+        return real(state, number, msgspec.structs.replace(command, done=False))
+    return move
+
+
+def ended_ones_are_left(real: Any) -> Any:
+    def next_move(self: Steward, at: int, held: Held, *words: Any) -> Any:
+        if held.permit.phase is Phase.DRAINING and at >= held.permit.ends:
+            return None
+        return real(self, at, held, *words)
+    return next_move
+
+
+def no_end(real: Any) -> Any:
+    """A member keeps out what a permit says, until it learns of another."""
+    return lambda self, at: real(self, 0)
+
+
+TWO = "no-two-break-an-agreement"
+MUTANTS: tuple[Mutant, ...] = (
+    Mutant("permit-granted-by-two", "permits", TWO, "a grant stands, whatever was granted since it was judged",
+           machine, "grant", judged_by_anything),
+    Mutant("permit-ends-without-clock-bound", "permits", TWO, "what ended by one clock has ended by all",
+           Limits, "let_in", no_bound),
+    Mutant("permit-without-an-end", "permits", TWO, "a member that learns nothing keeps a server out for good",
+           Promises, "kept_out", no_end),
+    Mutant("closed-before-all-let-in", "permits", TWO, "a permit is closed while others keep its server out",
+           steward, "all_let_in", lambda real: lambda *words: True),
+    Mutant("done-is-dropped", "permits", "never-drained-twice", "that the work had its time is not kept",
+           machine, "move", done_is_dropped),
+    Mutant("ended-permits-are-left", "permits", "never-forgotten-out", "a drain that ran over is not taken back",
+           Steward, "next_move", ended_ones_are_left),
+    Mutant("grants-with-its-clock-apart", "permits", "no-grant-while-apart", "a leader trusts its own clock",
+           steward, "clock_apart", lambda real: lambda *words: False),
+)
--- a/ambershift/modelcheck/registry.py
+++ b/ambershift/modelcheck/registry.py
@@ -13,6 +13,7 @@
 )
 from ambershift.modelcheck.models.collector import CollectorModel
 from ambershift.modelcheck.models.news import NewsLarge, NewsModel, NewsSmall
+from ambershift.modelcheck.models.permits import PermitsLarge, PermitsModel
 from ambershift.modelcheck.models.policy import PolicyModel
 from ambershift.modelcheck.models.replication import (
     ReplicationFolders,
@@ -24,7 +25,7 @@
 
 # Those that are not checked where none is named: for a machine with time, or parts of others.
 BESIDES = {
-    "replication-late", "replication-large", "news-small", "attempt-one-table", "row-large", "news-large",
+    "permits-large", "replication-late", "replication-large", "news-small", "attempt-one-table", "row-large", "news-large",
     "attempt-apart", "attempt-large",
 }
 
@@ -40,8 +41,10 @@
         PolicyModel(),
         ReplicationModel(),
         ReplicationFolders(),
+        PermitsModel(),
         ReplicationLate(),
         ReplicationLarge(),
+        PermitsLarge(),
         RowLarge(),
         NewsLarge(),
         NewsSmall(),
