--- a/ambershift/maintenance/agreements.py
+++ b/ambershift/maintenance/agreements.py
@@ -60,6 +60,7 @@
 
     def __init__(self, tenants: Sequence[Tenant], servers: Mapping[str, Standing], at: int) -> None:
         self.tenants, self.servers, self.at, self.users = tuple(tenants), servers, at, Users(tenants)
+        self.named = {tenant.name: tenant for tenant in tenants}
         self.capacity = {tenant.name: 0 for tenant in tenants}
         self.needed = {tenant.name: ceil(tenant.agreement.capacity * FINE) for tenant in tenants}
         self.outs = {tenant.name: 0 for tenant in tenants}
@@ -110,8 +111,8 @@
         """What would not hold were it out too."""
         known = server in self.out
         self.take(server)
-        mine = self.users.of(self.servers[server].zone)
-        found = next((binds for tenant in mine if (binds := self.lacks(tenant)) is not None), None)
+        found = next((binds for name in self.out[server]
+                      if (binds := self.lacks(self.named[name])) is not None), None)
         if not known:
             self.give(server)
         return found
--- a/ambershift/maintenance/board.py
+++ b/ambershift/maintenance/board.py
@@ -8,12 +8,13 @@
 
 from bisect import bisect_left
 from collections.abc import Iterable, Mapping, Sequence
+from functools import reduce
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
 from ambershift.maintenance.agreements import Binds, Room, Users, usable, worth
 from ambershift.maintenance.limits import Limits
-from ambershift.maintenance.windows import DAY, Span, shared_spans
+from ambershift.maintenance.windows import DAY, Span, common, tenant_spans
 from ambershift.maintenance.words import Declared, Refusal, Standing, Tenant, Work
 
 WAVE_MOST = 256  # A grant is one entry of the log.
@@ -56,13 +57,17 @@
 
     def __init__(self, at: int, ahead: int) -> None:
         self.since, self.until = at - 2 * DAY, at + ahead
-        self.known = dict[tuple[str, ...], list[Span]]()
+        self.known, self.each = dict[tuple[str, ...], list[Span]](), dict[str, list[Span]]()
 
     def of(self, tenants: tuple[Tenant, ...]) -> list[Span]:
         """The tenants are all of one declaration, so that their names tell them."""
         names = tuple(tenant.name for tenant in tenants)
         if (found := self.known.get(names)) is None:
-            found = self.known[names] = shared_spans(tenants, self.since, self.until)
+            for tenant in tenants:
+                if tenant.name not in self.each:
+                    self.each[tenant.name] = tenant_spans(tenant, self.since, self.until)
+            own = [self.each[name] for name in names]
+            found = self.known[names] = reduce(common, own) if own else [Span(self.since, self.until)]
         return found
 
     def fresh(self, at: int) -> bool:
--- a/ambershift/maintenance/limits.py
+++ b/ambershift/maintenance/limits.py
@@ -23,7 +23,7 @@
     # One that is not back so long after it should be warm is closed: it is ill, and counts as such.
     missing: int = 10 * MINUTE
     # How far ahead a time is looked for.
-    ahead: int = 400 * 24 * 60 * MINUTE
+    ahead: int = 120 * 24 * 60 * MINUTE
 
     def let_in(self, ends: int) -> int:
         """From when on, by the clock of any member that is not apart, no member holds it out any longer."""
--- a/ambershift/maintenance/windows.py
+++ b/ambershift/maintenance/windows.py
@@ -209,12 +209,3 @@
         return without(spans, closed_spans(tenant.agreement.closed, zones))
     except ValueError:
         return []  # A closed day that can't be read may be any day.
-
-
-def shared_spans(tenants: Sequence[Tenant], since: int, until: int) -> list[Span]:
-    """When all of them do; with no tenants, always. Spans are whole: they may begin before `since`."""
-    found = [Span(since, until)]
-    for at, tenant in enumerate(tenants):
-        spans = tenant_spans(tenant, since, until)
-        found = common(found, spans) if at else spans
-    return found
--- a/benchmarks/maintenance.py
+++ b/benchmarks/maintenance.py
@@ -14,10 +14,11 @@
 from typing import NamedTuple
 
 from ambershift.maintenance.agreements import Users, usable
+from ambershift.maintenance.board import Spans
 from ambershift.maintenance.limits import Limits
 from ambershift.maintenance.permits import Heard, Steers
 from ambershift.maintenance.waves import lay
-from ambershift.maintenance.windows import shared_spans
+from ambershift.maintenance.windows import Span
 from ambershift.maintenance.words import (
     Agreement,
     Declared,
@@ -88,12 +89,13 @@
 
 def starts(world: World) -> tuple[Callable[[str, int], int], Users]:
     """The next moment at which a server's work fits into the windows of all that use it."""
-    users, known = Users(world.declared.tenants), dict[str, list[tuple[int, int]]]()
+    users, known = Users(world.declared.tenants), dict[str, list[Span]]()
+    spans = Spans(START, 600 * 24 * HOUR)
 
     def fit(server: str, at: int) -> int:
         zone = world.servers[server].zone
         if zone not in known:
-            known[zone] = [*shared_spans(users.of(zone), START, START + 600 * 24 * HOUR)]
+            known[zone] = spans.of(users.of(zone))
         bound = LIMITS.clock_bound
         return next(max(at, opens + bound) for opens, closes in known[zone]
                     if max(at, opens + bound) + world.whole + bound <= closes)
