Split the decision module into a package of small modules

One file of 630 lines held all decisions in one class of 551; whoever changed a theme had to read all of them, and two changes met in the same file.

Now ambershift/policy/ holds ten modules of 27 to 98 lines, 580 that are not blank in all, as before. One record holds the state; functions over it decide, a module for each theme with the values that tune it. What was a bag of servers out (`ill`) and of eased lines now stands at each server. Some comments were shortened to what docs/design.md does not already say.

--- a/ambershift/modelcheck/models/policy.py
+++ b/ambershift/modelcheck/models/policy.py
@@ -1,6 +1,6 @@
 """The decision module itself, in a world of two proxies, two zones and few servers, with times chosen.
 
-Driven: `policy.py`, all of it. The channel carries what is ordered at the settings' pace; a step lets one
+Driven: `policy/`, all of it. The channel carries what is ordered at the settings' pace; a step lets one
 beat or two seconds of beats pass, so that graces are reached in few steps. Deep worlds are walked at
 random.
 """
--- a/ambershift/modelcheck/mutants.py
+++ b/ambershift/modelcheck/mutants.py
@@ -18,7 +18,8 @@
 from ambershift.coordinator.protocol import relay as codec
 from ambershift.coordinator.routing import compared, peers
 from ambershift.coordinator.routing.row import Call, Outcome, Row
-from ambershift.policy import TableManager
+from ambershift.policy import TableManager, health
+from ambershift.policy.state import State
 
 
 class Mutant(NamedTuple):
@@ -262,9 +263,9 @@
 
 
 def tries_once_more(real: Any) -> Any:
-    def judge(self: TableManager) -> None:
-        real(self)
-        self.again = api.Again.ONCE
+    def judge(state: State) -> None:
+        real(state)
+        state.again = api.Again.ONCE
     return judge
 
 
@@ -607,7 +608,7 @@
         "policy",
         "no-level-lets-a-flow-run-twice",
         "levels allow a try after a time-out",
-        TableManager,
+        health,
         "judge",
         tries_once_more,
     ),
--- /dev/null
+++ b/ambershift/policy/shares.py
@@ -0,0 +1,69 @@
+"""Dealing: each part of a zone keeps its own servers up to its due and borrows from what others have left."""
+
+from collections import defaultdict
+
+from ambershift.policy.cold import usable
+from ambershift.policy.parts import split, zone_shares
+from ambershift.policy.state import TRIAL_PART, State
+
+OVERLOAD_LIMIT, OVERLOAD_CALM, WORTH_LEAST = 0.2, 0.15, 2.5
+
+
+def deal(state: State, worth: dict[int, float], shares: dict[int, float]) -> dict[int, list[int]]:
+    due = {part: share * sum(worth.values()) / sum(shares.values()) for part, share in shares.items()}
+    got, lines, spare = dict.fromkeys(shares, 0.0), {part: list[int]() for part in shares}, list[int]()
+    homes = defaultdict[int, list[int]](list)
+    for part in due:
+        homes[state.zone_of[part]].append(part)
+    for index, value in sorted(worth.items(), key=lambda one: (-one[1], one[0])):
+        fits = [part for part in homes[state.servers[index].entry.zone] if got[part] + value / 2 <= due[part]]
+        if fits:
+            # Parts of a zone are alike: a server stays in its own, else the worst off has it.
+            part = max(fits, key=lambda part: (index in state.laid.get(part, ()), due[part] - got[part]))
+            lines[part].append(index)
+            got[part] += value
+        else:
+            spare.append(index)
+    for index in spare if due else ():
+        # The worst off borrows first; a server stays with the zone that has it, else tables would churn.
+        part = max(due, key=lambda part: (
+            due[part] - got[part] + 0.3 * (index in state.laid.get(part, ())) + 0.1 * (
+                state.zone_of[part] == state.servers[index].entry.zone), -part))
+        lines[part].append(index)
+        got[part] += worth[index]
+    worst = max(((due[part] - got[part]) / got[part] if got[part] else 1.0 for part in due), default=0.0)
+    state.fallback, state.got = worst > (OVERLOAD_CALM if state.fallback else OVERLOAD_LIMIT), got
+    return lines
+
+
+def plan(state: State) -> dict[int, dict[int, float]]:
+    worth = usable(state)
+    if worth and not state.parts:
+        split(state, len(worth))
+    if not worth or not (shares := zone_shares(state)):
+        return {}
+    weigh = {index: state.servers[index].entry.weight * part for index, part in worth.items()}
+    # With less, one sick server is much of a zone, and cold lines would take a traffic not yet seen.
+    apart = {}
+    for part in shares:
+        if any(near == state.zone_of[part] for near, _ in state.cut):
+            reached = reach(state, state.zone_of[part], weigh)
+            own = {one: weight for one, weight in reached.items() if (one - part) % state.parts == 0}
+            for lines in (reached, own):
+                if sum(worth[one] for one in lines) >= WORTH_LEAST:
+                    apart[part] = lines
+    near = {part: share for part, share in shares.items() if part not in apart}
+    dealt = deal(state, worth, near)
+    while small := sorted((had, part) for part, had in state.got.items() if had < WORTH_LEAST):
+        del near[small[0][1]]
+        dealt = deal(state, worth, near)
+    zoned = -1 not in near and all(state.servers[index].entry.zone >= 0 for index in worth)
+    if not state.fallback and zoned and len(worth) >= state.terms.zones:
+        apart |= {part: {index: weigh[index] for index in dealt[part]} for part in near}
+    return apart if apart.keys() >= shares.keys() else apart | {state.terms.zones * state.parts: weigh}
+
+
+def reach(state: State, zone: int, weigh: dict[int, float]) -> dict[int, float]:
+    spells = {index: state.cut.get((zone, state.servers[index].entry.zone)) for index in weigh}
+    return {index: weigh[index] * (TRIAL_PART if spell else 1.0)
+            for index, spell in spells.items() if spell is None or spell.trial}
--- a/benchmarks/fleet_beat.py
+++ b/benchmarks/fleet_beat.py
@@ -9,11 +9,13 @@
 
 import argparse
 import importlib
+import io
 import json
 import random
 import statistics
 import subprocess
 import sys
+import tarfile
 import tempfile
 import time
 from pathlib import Path
@@ -25,6 +27,17 @@
 LINES_PER_S, HEAD = 1200.0, 3.0
 
 
+def unpack(revision: str, place: str) -> None:
+    """Puts the package as it was at a commit into a folder."""
+    words = ["git", "archive", revision, "ambershift"]
+    try:
+        done = subprocess.run(words, cwd=ROOT, check=True, capture_output=True)
+    except (subprocess.CalledProcessError, FileNotFoundError):
+        raise SystemExit(f"{revision}: this checkout holds no such commit") from None
+    with tarfile.open(fileobj=io.BytesIO(done.stdout)) as file:
+        file.extractall(place, filter="data")
+
+
 def module_at(revision: str | None) -> tuple[Any, Any]:
     """The module and its interface: as they are here, or as they were at a commit."""
     for name in [name for name in sys.modules if name.split(".")[0] == "ambershift"]:
@@ -32,18 +45,7 @@
     place = str(ROOT)
     if revision:
         place = tempfile.mkdtemp()
-        for name in ("__init__", "policy", "interface"):
-            try:
-                text = subprocess.run(
-                    ["git", "show", f"{revision}:ambershift/{name}.py"],
-                    cwd=ROOT,
-                    check=True,
-                    capture_output=True,
-                ).stdout
-            except (subprocess.CalledProcessError, FileNotFoundError):
-                raise SystemExit(f"--old {revision}: this checkout holds no such commit") from None
-            (Path(place) / "ambershift").mkdir(exist_ok=True)
-            (Path(place) / "ambershift" / f"{name}.py").write_bytes(text)
+        unpack(revision, place)
     sys.path.insert(0, place)
     try:
         return importlib.import_module("ambershift.policy"), importlib.import_module("ambershift.interface")
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,6 +6,7 @@
 from plain import READS, WRITES, Plain, S, entry, group, make_terms
 
 from ambershift import interface as api
+from ambershift.policy import tables
 
 
 def well(bad: int = 0, ms: int = 100) -> list[api.Met]:
@@ -309,7 +310,7 @@
     for second in range(12):
         chosen = range(second % 4, 8, 4)
         plain.run(S, *[met(i, 20, 12 * (i == 0), i % 2)._replace(span=4 * S) for i in chosen])
-    assert plain.module.lag == 4 * S and 0 in plain.module.ill
+    assert plain.module.lag == 4 * S and plain.module.servers[0].ill
 
 
 def test_late_answers_ease_a_server_but_keep_it() -> None:
@@ -395,14 +396,16 @@
     assert set(plain.tables[2]) == {1} and not plain.stopped
 
 
-def test_a_returned_server_is_not_let_in_while_an_old_line_is_larger_than_it_stands() -> None:
+def test_a_returned_server_is_not_let_in_while_an_old_line_is_larger_than_it_stands(
+        monkeypatch: pytest.MonkeyPatch) -> None:
     plain = small()
     plain.run(20 * S)
-    plain.module.lay = plain.module.shrink = lambda *_: None  # As in a full channel.
+    for name in ("lay", "shrink"):
+        monkeypatch.setattr(tables, name, lambda *_: None)  # As in a full channel.
     plain.run(S, api.Listed(False, False, (entry(0, 0, api.Phase.GONE),)))
     plain.run(3 * S, api.Listed(False, False, (entry(0, 0, since=plain.now),)))
     assert plain.shut == {0}
-    del plain.module.lay, plain.module.shrink
+    monkeypatch.undo()
     plain.run(3 * S)
     assert not plain.shut
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -11,6 +11,7 @@
 from ambershift import interface as api
 from ambershift.door import Door
 from ambershift.policy import TableManager
+from ambershift.policy.health import recent
 
 ZONES = 4
 
@@ -87,7 +88,7 @@
     """Calls are taken in turn, each takes `slow`, and fail after 3 s in the row; whole and part lists."""
     fleets = [fleet(40, 30, 30, must_watch=True) for _ in range(5)]
     for number, one in enumerate(fleets):
-        one.module.state = number * 7919  # The seeds that they were born with differ.
+        one.module.seed = number * 7919  # The seeds that they were born with differ.
     row = deque((one.now, number) for number, one in enumerate(fleets))  # All ask as soon as they are born.
     calls, heard, free = list[int](), [0] * 5, 0
     for _ in range(400):
@@ -152,7 +153,7 @@
                 met.zone == only if only is not None else (met.zone, server.entry.zone) not in module.cut)]
             tries, bad = sum(met.tries for met in told), sum(met.bad for met in told)
             took = sum(met.mean_time * (met.tries - met.bad) for met in told) / max(1, tries - bad)
-            assert module.recent(server, since, only) == (tries, bad, took)
+            assert recent(module, server, since, only) == (tries, bad, took)
         for proxy in module.joined.values():
             assert (proxy.came, proxy.span) == tuple(sum(one[at] for one in proxy.usage) for at in (1, 2))
         assert sorted(one for users in module.users.values() for one in users) == sorted(module.joined)
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -54,7 +54,8 @@
              "ambershift/admin": ("runtime", "settings", "cli", "coordinator", "benchlink"),
              "ambershift/settings": ("runtime", "cli", "coordinator", "admin", "benchlink"),
              "ambershift/runtime": ("cli", "settings", "benchlink")}
-    core = [ROOT / "ambershift" / name for name in ("policy.py", "interface.py", "terms.py", "door.py")]
+    core = [*(ROOT / "ambershift/policy").glob("*.py"), *(
+        ROOT / "ambershift" / name for name in ("interface.py", "terms.py", "door.py"))]
     for folder, above in below.items():
         for place in [*(ROOT / folder).rglob("*.py"), *core]:
             names = re.findall(r"^\s*(?:from|import) ambershift\.(\w+)", place.read_text(), re.MULTILINE)
