--- a/benchmarks/same_orders.py
+++ b/benchmarks/same_orders.py
@@ -305,13 +305,13 @@
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--rounds", type=int, default=150, help="of a day")
     parser.add_argument("--tests", nargs="+", default=[], help="files of tests to record from")
-    parser.add_argument("--values", action="store_true", help="change each value: what shows it?")
+    parser.add_argument("--values", nargs="*", help="change each value, or these: what shows it?")
     asked = parser.parse_args()
     rows = recorded(asked.tests) if asked.tests else []
     old, new = policy_at(asked.old), policy_at(asked.new)
     use(old, new)
-    if asked.values:
-        for name in values(new):
+    if asked.values is not None:
+        for name in asked.values or values(new):
             print(f"{name}: {shown(new, name, asked)}", flush=True)
         return 0
     try:
