--- a/tests/test_group_counters.py
+++ b/tests/test_group_counters.py
@@ -1,10 +1,17 @@
-"""Counter sources beside the members as processes: one that is lost takes nothing but its node's news."""
+"""Counter sources beside the members, and `make try`, as processes."""
 
+import asyncio
+import contextlib
+import subprocess
+import sys
+from collections.abc import AsyncIterator
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 from test_group_processes import group, holds, title
 
+from ambershift.standins import __main__ as trying
 from ambershift.standins.counting import Counting
 from ambershift.standins.rig import Rig
 
@@ -45,3 +52,27 @@
         finally:
             await counting.end()
     group(tmp_path, act, prepare=prepare)
+
+
+def test_try_tells_what_was_promised_and_who_holds_it(tmp_path: Path) -> None:
+    told = subprocess.run([sys.executable, "-m", "ambershift.standins", "--seconds", "5"], timeout=140,
+                          cwd=Path(__file__).parent.parent, capture_output=True, text=True, check=False)
+    assert told.returncode == 0 and not told.stderr, told.stdout + told.stderr
+    lines = [line.partition(" s  ")[2] for line in told.stdout.splitlines()]
+    assert lines.count("kept    'maint' of east/s-0 is held by n1, n2, n3") == 3
+    assert sum(line.startswith("promised by ") for line in lines) == 3
+    assert [line for line in lines if line.startswith("killed n")] and "No rule broke." in told.stdout
+
+
+@pytest.mark.parametrize("breaks", [True, False])
+def test_try_ends_by_what_broke(monkeypatch: pytest.MonkeyPatch, tmp_path: Path, breaks: bool) -> None:
+    @contextlib.asynccontextmanager
+    async def rig(*words: object, **given: object) -> AsyncIterator[SimpleNamespace]:
+        yield SimpleNamespace(discovery=SimpleNamespace(now={"servers": []}), tail=lambda: "")
+
+    async def run(trial: trying.Trial) -> None:
+        trial.rule(True, "held")
+        assert not breaks, "no leader"
+    monkeypatch.setattr(trying, "Rig", rig)
+    monkeypatch.setattr(trying.Trial, "run", run)
+    assert asyncio.run(trying.main(1.0, 3, 1, tmp_path)) == int(breaks)
