Replica: one that was born with nobody left who knows is blank again

Seen in histories: a voter held up while the group was born went on from answers of lives that had ended, held nothing, and kept the others from being born for ever. The first entry now waits for a majority in the first view, so that until then all can go back.

--- a/ambershift/replication/birth.py
+++ b/ambershift/replication/birth.py
@@ -17,7 +17,21 @@
     return [name for name in core.fixed.voters if name != core.fixed.me]
 
 
+def look_back(core: Core, now: int) -> None:
+    """One that was born with nobody left who knows of it holds nothing and has vouched for nothing: it is as
+    good as blank, and would else keep the others from being born."""
+    void = core.status is Status.NORMAL and core.fixed.votes and not core.view and not core.log.top
+    if void and now >= core.leader_heard + core.fixed.timing.unborn:
+        core.note("group-unborn")
+        core.status, core.birth, core.doubt, core.suspecting, core.led_by = Status.BLANK, (), False, False, 0
+        core.have, core.rounds = {}, {}
+        core.readers = []
+        core.fetching = None
+        core.round, core.ask_at = core.round + 1, now
+
+
 def ask(core: Core, now: int) -> None:
+    look_back(core, now)
     if core.status is not Status.BLANK or not core.fixed.votes or now < core.ask_at:
         return
     core.ask_at = now + core.fixed.timing.ask
--- a/ambershift/replication/leading.py
+++ b/ambershift/replication/leading.py
@@ -21,10 +21,18 @@
     core.leader_heard = now
     core.sent_top = core.log.top
     look_ahead(core)
-    propose(core, now, "" if core.log.top else first_token(core), core.fixed.noop)
+    if core.view:
+        propose(core, now, "" if core.log.top else first_token(core), core.fixed.noop)
     core.beat_at = now
 
 
+def begin_group(core: Core, now: int) -> None:
+    """The first entry, once a majority follows in the first view: until then all may be blank again."""
+    follow = sum(1 for name in core.fixed.voters if name == core.fixed.me or name in core.have)
+    if not core.log.top and follow >= core.fixed.majority:
+        propose(core, now, first_token(core), core.fixed.noop)
+
+
 def first_token(core: Core) -> str:
     """The group's id, and who was blank at the moment of its birth."""
     birth = "".join(f" {name}={incarnation}" for name, incarnation in core.birth)
@@ -61,7 +69,7 @@
            command: bytes) -> None:
     """A command of a client, here or at another member. One attempt of a member is taken at most once."""
     assert core.leading
-    if core.doubt:  # For good, in this view.
+    if core.doubt or not core.log.top:  # For good, in this view; or there is no group yet.
         reply(core, origin, incarnation, ticket, attempt, Reason.NO_MAJORITY, b"")
         return
     known = core.tokens.get(token)
@@ -86,7 +94,7 @@
 
 
 def ask_to_read(core: Core, origin: str, incarnation: int, ticket: int) -> None:
-    if not core.leading or core.doubt:
+    if not core.leading or core.doubt or not core.log.top:
         return
     wait_for_round(core, Reader(origin, incarnation, ticket, 0, b"", 0, 0))
 
@@ -125,9 +133,11 @@
     """What a leader does after each event."""
     if not core.leading:
         return
-    count(core, now)
     if core.doubt:
+        count(core, now)
         return
+    begin_group(core, now)
+    count(core, now)
     rounds(core, now)
     core.batches = [top for top in core.batches if top > core.committed]
     while core.sent_top < core.log.top and len(core.batches) < core.fixed.timing.depth:
--- a/ambershift/replication/replica.py
+++ b/ambershift/replication/replica.py
@@ -182,6 +182,8 @@
         times = [core.next_start, core.want_at]
         if core.fetching is not None:
             times.append(core.fetching.at + core.fixed.timing.fetch if core.fetching.at else 0)
+        if core.status is Status.NORMAL and core.fixed.votes and not core.view and not core.log.top:
+            times.append(core.leader_heard + core.fixed.timing.unborn)
         if core.status is Status.BLANK and core.fixed.votes and core.fetching is None:
             times.append(core.ask_at)
         if core.leading and not core.doubt:
--- a/ambershift/replication/timing.py
+++ b/ambershift/replication/timing.py
@@ -15,6 +15,7 @@
     jitter: int = 150 * MS  # Added to the silence by chance, so that not all ask at once.
     ask: int = 100 * MS  # Between two calls of a blank member, and of one that changes views.
     change: int = 500 * MS  # A view that has not begun by then is suspected like one gone quiet.
+    unborn: int = 2000 * MS  # One that was born and has heard of no first entry by then is blank again.
     fetch: int = 200 * MS  # After that a piece that was asked for is asked for again.
     retry: int = 300 * MS  # A forwarded command without an answer is sent again.
     come_back: int = 1000 * MS  # Told to clients that are refused for want of a majority.
@@ -39,4 +40,4 @@
 
 PLAIN = Timing()
 # For models: with `now` always 0, every call of `due` does all that could be due.
-STILL = Timing(beat=0, silence=0, jitter=0, ask=0, change=0, fetch=0, retry=0, come_back=0, tell=0)
+STILL = Timing(beat=0, silence=0, jitter=0, ask=0, change=0, unborn=1, fetch=0, retry=0, come_back=0, tell=0)
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -83,6 +83,12 @@
         self.fed = 0
         self.wake = -1
 
+    @property
+    def bare(self) -> bool:
+        """Whether its folder vouches for nothing."""
+        saved = self.saved
+        return saved is None or not (saved.view or saved.entries or saved.snapshot)
+
 
 class Waiting(NamedTuple):
     host: str
@@ -191,9 +197,9 @@
     def is_lost(self, name: str) -> bool:
         """Whether it has yet to get back what it has lost."""
         host = self.hosts[name]
-        if not host.saved and (host.replica is None or host.replica.status is Status.BLANK):
+        if host.bare and (host.replica is None or host.replica.status is Status.BLANK):
             # One that was blank when the group was born is of it, told or not.
-            return any(one.saved or one.replica and one.replica.status is not Status.BLANK
+            return any(not one.bare or one.replica and one.replica.status is not Status.BLANK
                        for other, one in self.hosts.items() if other in self.voters)
         if host.lost_mark is None:
             return False
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -65,7 +65,7 @@
         case 8:
             sim.cuts = set()
         case 9:
-            if sim.disk or may_lose(sim, name):
+            if not host.bare or may_lose(sim, name):
                 sim.crash(name)
         case 10 | 11:
             for one in sim.hosts:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -468,8 +468,7 @@
 
     machine = Moody()
     one = Replica("n1", ["n1", "n2", "n3"], [], machine, 1, 9, None, False, noop=b"noop")
-    birth.be_born(one.core, 0, ())
-    one.due(0, WALL)
+    begin(one)
     for mood, view, attempt, top in ((b"refused", 0, 1, 1), (b"", 0, 1, 1), (b"", 3, 2, 1), (b"", 0, 2, 2)):
         machine.mood = mood
         one.hear(0, "n3", messages.Forward(incarnation=1, view=view, ticket=1, attempt=attempt, token="t",
@@ -477,11 +476,33 @@
         assert one.core.log.top == top
 
 
+def begin(one: Replica) -> None:
+    """Born as the leader of the first view, which writes its first entry once a majority follows."""
+    birth.be_born(one.core, 0, ())
+    for name in one.core.fixed.voters[1:]:
+        assert one.core.log.top == (1 if len(one.core.have) + 1 >= one.core.fixed.majority else 0)
+        one.hear(0, name, Have(incarnation=1, view=0, round=0, number=0, committed=0, status=""))
+
+
+def test_one_that_was_born_alone_is_blank_again_and_lets_the_others_be_born() -> None:
+    for late in ("n1", "n3"):
+        sim = Sim(4, 3)
+        for name in sim.voters:
+            sim.start(name)
+        # The two others answered blank, and went before they knew; these are their next lives.
+        one = sim.hosts[late].replica
+        assert one is not None
+        lives = {name: 1 for name in sim.voters} | {late: one.core.incarnation}
+        birth.be_born(one.core, sim.now, tuple(lives.items()))
+        sim.run(5 * SECOND)
+        assert leader(sim) and sim.notes["group-unborn"] == 1
+        sim.settle()
+
+
 def test_what_a_member_said_in_an_earlier_life_counts_no_more() -> None:
     names = ("n1", "n2", "n3", "n4", "n5")
     one = Replica("n1", names, [], Counting(), 1, 9, None, False, noop=b"noop")
-    birth.be_born(one.core, 0, ())
-    one.due(0, WALL)
+    begin(one)
 
     def have(name: str, life: int) -> int:
         one.hear(0, name, Have(incarnation=life, view=0, round=0, number=1, committed=0, status=""))
