--- a/ambershift/group/disk/files.py
+++ b/ambershift/group/disk/files.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 from collections.abc import Callable
 from typing import Protocol
@@ -92,8 +93,10 @@
         held = portalocker.Lock(self.path(LOCK), "a", timeout=0, fail_when_locked=True)
         try:
             held.acquire()
-        except portalocker.exceptions.LockException as error:
+        except portalocker.exceptions.AlreadyLocked as error:
             raise LockedError(f"{self.folder} is in use by another process") from error
+        except portalocker.exceptions.LockException as error:
+            raise OSError(errno.ENOLCK, f"no lock can be had: {error}") from error
         self.held = held
 
     def unlock(self) -> None:
--- a/ambershift/group/evidence.py
+++ b/ambershift/group/evidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from heapq import nsmallest
 from statistics import median
 from typing import Annotated, NamedTuple
 
@@ -45,15 +46,21 @@
     """Of the time since they were taken last."""
 
     def __init__(self, now: int) -> None:
-        self.since, self.sums = now, dict[tuple[int, int], Sum]()
+        self.since, self.sums = now, dict[tuple[int, int], list[int]]()
 
     def add(self, met: api.Met) -> None:
-        tries, bad, good = self.sums.get((met.zone, met.server), (0, 0, 0))
-        good += met.mean_time * (met.tries - met.bad)
-        self.sums[met.zone, met.server] = Sum(tries + met.tries, bad + met.bad, good)
+        """Thousands come in a step, hence the list."""
+        zone, server, tries, bad, mean, _, _ = met
+        held = self.sums.get((zone, server))
+        if held is None:
+            self.sums[zone, server] = [tries, bad, mean * (tries - bad)]
+        else:
+            held[0] += tries
+            held[1] += bad
+            held[2] += mean * (tries - bad)
 
     def take(self, now: int) -> tuple[dict[tuple[int, int], Sum], int]:
-        sums, span = self.sums, max(1, now - self.since)
+        sums, span = {place: Sum(*held) for place, held in self.sums.items()}, max(1, now - self.since)
         self.sums, self.since = {}, now
         return sums, span
 
@@ -62,10 +69,10 @@
     """The worst first, up to ILL_MOST; none where all are alike, which is an overload."""
     if not sums:
         return set()
-    usual_bad = median(one.bad / one.tries for one in sums.values())
-    usual_ns = median([one.mean_ns for one in sums.values() if one.mean_ns] or [0])
-    found = [place for place, one in sums.items() if one.tries >= TRIES_LEAST and (
-        one.bad / one.tries > max(BAD_SHARE, 2 * usual_bad) or one.mean_ns > LATE * usual_ns > 0)]
+    bad_most = max(BAD_SHARE, 2 * median([bad / tries for tries, bad, _ in sums.values()]))
+    late = LATE * median([good / (tries - bad) for tries, bad, good in sums.values() if tries > bad] or [0.0])
+    found = [place for place, (tries, bad, good) in sums.items() if tries >= TRIES_LEAST and (
+        bad > bad_most * tries or good > late * (tries - bad) > 0)]
     found.sort(key=lambda place: (-sums[place].bad / sums[place].tries, place))
     return set(found[:ILL_MOST])
 
@@ -73,10 +80,11 @@
 def sample(sums: dict[tuple[int, int], Sum], left_out: set[tuple[int, int]]) -> dict[int, list[int]]:
     """For each zone the servers that were met most, those told one by one left out."""
     zones = dict[int, list[int]]()
-    for zone, server in sorted(sums, key=lambda place: (-sums[place].tries, place)):
-        if (zone, server) not in left_out and len(zones.setdefault(zone, [])) < SAMPLE:
-            zones[zone].append(server)
-    return zones
+    for zone, server in sums:
+        if (zone, server) not in left_out:
+            zones.setdefault(zone, []).append(server)
+    return {zone: nsmallest(SAMPLE, servers, key=lambda server: (-sums[zone, server].tries, server))
+            for zone, servers in zones.items()}
 
 
 def rows(record: Record) -> tuple[str, tuple[Row, ...]]:
--- a/ambershift/group/learned.py
+++ b/ambershift/group/learned.py
@@ -99,10 +99,11 @@
         own = events
         if self.handed:
             own = [event for event in events if self.handed.pop(id(event), None) is not event]
+        add, met_at = self.sums.add, self.met_at
         for event in own:
-            if isinstance(event, api.Met) and event.tries:
-                self.sums.add(event)
-                self.met_at[event.server] = now
+            if type(event) is api.Met and event.tries:
+                add(event)
+                met_at[event.server] = now
         return own
 
     def heard(self, now: int, news: Sequence[Record]) -> None:
