--- a/ambershift/group/member.py
+++ b/ambershift/group/member.py
@@ -15,16 +15,18 @@
 from ambershift.group.links.gate import Mine
 from ambershift.group.links.links import Links
 from ambershift.group.links.wire import Close, Kind, Refused, UnreadableError
+from ambershift.group.links.words import failure
+from ambershift.group.offloop import off_loop
 from ambershift.group.spec import Spec
 from ambershift.promises.answers import decode, read_answer
 from ambershift.promises.machine import PromisesMachine
-from ambershift.promises.state import EMPTY, Promises
+from ambershift.promises.state import Promises
 from ambershift.promises.words import Command, Wishes
 from ambershift.replication import messages, words
 from ambershift.replication.replica import Replica
 from ambershift.replication.words import Answer, Applied, Halt, Reason, Restored, Send, Write
 
-SECOND = 1_000_000_000
+SECOND, FAILED_PAUSE = 1_000_000_000, 0.2
 
 
 class Member(Asking):
@@ -60,7 +62,7 @@
 
     async def live(self, least: int = 0, void: str = "") -> None:
         """Begin a life: as what the folder vouches for, or blank."""
-        self.life = await asyncio.to_thread(begin, self.spec, self.note, least, void)
+        self.life = await off_loop(begin, self.spec, self.note, least, void)
         self.halted = ("disk-failed", self.life.failed) if self.life.failed else None
         if self.halted:
             return
@@ -91,24 +93,9 @@
 
     async def end_disk(self) -> None:
         disk, self.disk = self.disk, None
-        if disk is not None and not await asyncio.to_thread(disk.close):
+        if disk and not await off_loop(disk.close):
             self.note("disk_hangs")
 
-    # What it is
-
-    def wall(self) -> int:
-        return self.now() + self.spec.clock_ahead
-
-    @property
-    def state(self) -> Promises:
-        """As committed, as far as this member knows."""
-        found: Promises = self.replica.state if self.replica is not None else EMPTY
-        return found
-
-    @property
-    def leads(self) -> bool:
-        return self.replica is not None and self.halted is None and self.replica.leader == self.spec.me
-
     # What links tell
 
     def mine(self) -> Mine:
@@ -244,5 +231,10 @@
 
     def ring(self) -> None:
         self.timer = None
-        if self.replica is not None and not self.halted and not self.stopping:
+        if self.replica is None or self.halted or self.stopping:
+            return
+        try:
             self.perform(self.replica.due(self.now(), self.wall()))
+        except Exception as error:  # Told in full; without a timer the member would be silent for ever.
+            failure(self.note, "replica", error)
+            self.timer = asyncio.get_running_loop().call_later(FAILED_PAUSE, self.ring)
