--- a/tests/test_heard.py
+++ b/tests/test_heard.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from ambershift.replication.heard import Kind, Record
+from ambershift.replication.heard.ages import Ages
 from ambershift.replication.heard.messages import (
     Delta,
     Digest,
@@ -200,11 +201,18 @@
     assert set(store.keys(Kind.START)) >= {"b79", "c59", "a0"} and "b0" not in store.keys(Kind.START)
     for _ in range(5_000):
         store.put(0, Kind.ILL, "s", b"z")
-    assert len(store.ages.heap) < 6 * store.count + 1100
+    assert len(store.ages.heap) < 6 * store.count + 1100 and len(store.origins["a"].order) < 1200
+    store.sweep(longest(Kind.ILL))
+    assert store.keys(Kind.ILL) == []
+    assert store.hear(0, Digest((Place("a", 2, 9),), True))[0] == [store.delta(0, {"a": Place("a", 2, 9)})]
     few = Store("a", 1, Bounds(3, 10, 120, 1 << 20))
     for at in range(40):
         few.put(0, Kind.START, f"a{at}", b"x")
     assert few.keys(Kind.START) == [f"a{at}" for at in range(30, 40)]
+    ages = Ages()
+    for version in range(1, 1_030):
+        ages.add(version, "a", 1, version, (1, "s"), 1)
+    assert [one[2] for one in ages.due(2_000)] == [1_029], "only the newest is left"
     small = Store("a", 1, Bounds(3, 50, 120, 2_000))
     for at in range(40):
         small.put(0, Kind.START, f"a{at}", b"x" * 300)
