--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -180,11 +180,18 @@
     assert leader.desk.world.own(0).state is READY and committed is EMPTY
     answer = leader.machine.judge(log, leader.now, encode(second))
     assert answer is not None and Reason.ZONE_WITHOUT_WARM.value.encode() in answer
+    # What the log takes back, committed or not, is there again.
+    leader.apply(first)
+    back = leader.machine.apply(leader.held, Entry(1, 9, 1, "", encode(leader.wish(*out(0, state=READY)))))[0]
+    assert leader.judge(second) is not None
+    assert leader.machine.judge(back, leader.now, encode(second)) is None
+    leader.at_desk.all(EMPTY)
     # The same by a permit in the log: it counts until it is closed, whatever this clock says.
     leader.held = EMPTY
     leader.apply(declare(0, 2))
     leader.apply(Grant(leader.held.permits_touched, (permit(leader, 0, leader.now + S),)))
-    leader.now += 60 * S
+    leader.settle()
+    assert not leader.shut and not leader.desk.world.permitted  # Its own clock has let s0 in again.
     assert leader.judge(second) is not None
     grant = leader.judge(Grant(leader.held.permits_touched, (permit(leader, 2, leader.now + S),)))
     assert grant is not None and b"zone-without-warm" in grant
