--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Iterator
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -535,3 +536,18 @@
             assert (await rig.say("n1", "disable server east/s-0")).text.startswith("Refused (no-majority)")
             assert await member.terminate() == 0
     asyncio.run(play())
+
+
+def test_without_a_group_its_commands_are_unknown_and_unlisted() -> None:
+    from ambershift.runtime.execute import Executor
+    from ambershift.runtime.grammar import Command as Said_
+    from ambershift.runtime.session import Level, Session
+    for common, known in ((None, False), (object(), True)):
+        executor = Executor(SimpleNamespace(common=common))  # type: ignore[arg-type]
+        session = Session("x", Level.ADMIN)
+        listed = "\n".join(executor.run(session, Said_(("help",), "help")).lines)  # type: ignore[union-attr]
+        assert [f"show {one} " in listed for one in ("group", "maintenance", "interference")] == [known] * 3
+        if not known:
+            told = executor.run(session, Said_(("show", "group"), "show group"))
+            text = "\n".join(told.lines)  # type: ignore[union-attr]
+            assert text.startswith("Unknown command: 'show group'") and "show interference" not in text
