--- a/ambershift/admin/adopt.py
+++ b/ambershift/admin/adopt.py
@@ -57,7 +57,7 @@
     def permit(self, now: int, until: Mapping[int, int]) -> None:
         """Keep these out as under maintenance, each until its end by this desk's clock, and no others."""
         self.permits = dict(until)
-        world = self.world.with_permits(self.permits, now)
+        world = self.world.with_permits(self.permits)
         self.take_up(now, [server for server in {*world.permitted, *self.world.permitted}
                            if world.wish(server) != self.world.wish(server)])
         self.set_world(self.relend(world, now))
--- a/ambershift/admin/desk.py
+++ b/ambershift/admin/desk.py
@@ -63,7 +63,7 @@
             world = world.with_wish(server, self.ahead.pop(server))
             self.waiting = self.waiting.insert(server, Told(now))
         if self.permits:
-            world = world.with_permits(self.permits, now)
+            world = world.with_permits(self.permits)
         world = self.relend(world, now)
         self.set_world(world)
         self.pace.held.clear()
--- a/ambershift/admin/world.py
+++ b/ambershift/admin/world.py
@@ -64,9 +64,9 @@
                     listed = listed.insert(server, entry._replace(phase=api.Phase.GONE))
         return self._replace(listed=listed, zones=zones)
 
-    def with_permits(self, until: Mapping[int, int], now: int) -> World:
-        """Those that are listed and whose end is to come, in place of all before."""
-        permitted = {server: at for server, at in until.items() if at > now and server in self.listed}
+    def with_permits(self, until: Mapping[int, int]) -> World:
+        """Those of them that are listed, in place of all before."""
+        permitted = {server: at for server, at in until.items() if server in self.listed}
         return self if permitted == dict(self.permitted) else self._replace(permitted=HashTrieMap(permitted))
 
     def with_wish(self, server: int, wish: Standing) -> World:
