--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -86,6 +86,15 @@
     assert found == ([made[0], *made[2:]] if why.keys() != {"unreadable"} else made)
 
 
+def test_a_row_without_an_end_takes_no_room_and_spoils_one_row() -> None:
+    reader = PerfReader(Job("a", "m1", "s-1", "games"), NOW - SLOT_NS)
+    for _ in range(1_000):
+        reader.feed(b"7" * 100, NOW)
+        assert len(reader._left) <= LINE_MOST + 1
+    found = [*reader.feed(("\n" + csv(sample(0))).encode(), NOW), *reader.flush()]
+    assert (found, dict(reader.took)) == ([sample(0)], {Unusable.UNREADABLE: 1})
+
+
 def test_perf_started_anew_begins_its_stamps_anew() -> None:
     first, anew = (csv(*(sample(number, cycles=cycles + number) for number in range(3))).encode()
                    for cycles in (2.5e10, 2.4e10))
