--- a/ambershift/interference/engine.py
+++ b/ambershift/interference/engine.py
@@ -15,14 +15,14 @@
 from ambershift.interference.held import Held
 from ambershift.interference.node import SLOT_NS, Node
 from ambershift.interference.normal import liars
-from ambershift.interference.pooled import lost, pairs, scores
+from ambershift.interference.pooled import NODES_LEAST, lost, pairs, scores
 from ambershift.interference.records import Baseline, Evidence, Put, UnreadableError
 from ambershift.interference.sift import judge
 from ambershift.interference.words import Sample, Score, Unusable
 from ambershift.replication.heard import Kind, Record
 
 BEAT_NS = 1_000_000_000
-SLICE = 16  # Nodes that are looked at in one call of `due`, so that no call takes long.
+SLICE = 4  # Nodes that are looked at in one call of `due`: some 10 ms each.
 OLD = 180  # Slots. Evidence that is older, by the middle of the members' newest, no longer counts.
 SCORE_AFTER = 3  # Scores are worked out so often at most.
 LATELY = 66  # Nor does what a server suffers.
@@ -213,7 +213,8 @@
     def rows(self) -> list[Row]:
         """The accused first, then by victim and suspect; victims with nobody to blame at the end."""
         suffering = Counter(one.group for one in self._current.values() if one.suffers)
-        made = [Row(*score_fields(one), suffering[one.victim], one.accused, "") for one in self._scores]
+        made = [Row(*score_fields(one), suffering[one.victim], one.accused,
+                    "" if one.nodes >= NODES_LEAST else Unusable.TOO_LITTLE.value) for one in self._scores]
         made.sort(key=lambda row: (not row.accused, row.victim, row.suspect))
         scored = {row.victim for row in made}
         reasons = {(one.group, one.reason) for one in self._current.values() if one.reason}
--- a/ambershift/interference/sift.py
+++ b/ambershift/interference/sift.py
@@ -8,7 +8,9 @@
 
 SECOND = 1_000_000_000
 SPAN_LEAST, SPAN_MOST = 0.05, 1.5  # Of a slot.
-SKEW_MOST = 60 * SECOND  # Between a node's clock and its member's, and what waits on the way.
+# A sample from ahead of its member's clock would push older slots out before their time.
+AHEAD_MOST, AHEAD_SLOTS = 2 * SECOND, 2
+LATE_MOST = 60 * SECOND  # What waited on the way.
 COUNTED_LEAST = 0.5
 CPUS_MOST = 4_096.0
 GHZ_LEAST, GHZ_MOST = 0.05, 12.0  # Cycles a ns of task clock; no machine clocks beyond.
@@ -40,7 +42,7 @@
         return Unusable.WRAPPED
     if not SPAN_LEAST <= sample.span_ns / slot_ns <= SPAN_MOST or not 0.0 <= sample.counted <= 1.0:
         return Unusable.IMPOSSIBLE
-    if abs(sample.at - now) > SKEW_MOST:
+    if not -LATE_MOST <= sample.at - now <= max(AHEAD_MOST, AHEAD_SLOTS * slot_ns):
         return Unusable.SKEWED
     if sample.at == told.at:
         return Unusable.REPEATED if figures == told.figures else Unusable.CONTRADICTING
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -134,7 +134,7 @@
     ({"cycles": 0.0}, Unusable.CONTRADICTING), ({"cache_misses": 1e11}, Unusable.IMPOSSIBLE),
     ({"task_ns": 1e15, "cycles": 2e15, "instructions": 2e15}, Unusable.IMPOSSIBLE),
     ({"counted": 0.3}, Unusable.TOO_LITTLE), ({"counted": 1.5}, Unusable.IMPOSSIBLE),
-    ({"span_ns": 16 * SECOND}, Unusable.IMPOSSIBLE), ({"at": NOW + 3_600 * SECOND}, Unusable.SKEWED),
+    ({"span_ns": 16 * SECOND}, Unusable.IMPOSSIBLE), ({"at": NOW + 21 * SECOND}, Unusable.SKEWED),
     ({"at": NOW}, Unusable.CONTRADICTING), ({"at": NOW + 3 * SECOND}, Unusable.CONTRADICTING),
     ({"at": NOW - SLOT_NS}, Unusable.REPEATED), ({"job": "a|b"}, None), ({"job": ""}, Unusable.UNREADABLE),
     ({"cycles": 2.5e10, "instructions": 2e10}, Unusable.REPEATED)]
@@ -151,7 +151,7 @@
 def test_figures_of_one_ratio_are_written_and_not_counted() -> None:
     told = Told()
     reasons = [judge(sample(at, cycles=1e10 * (1 + at), instructions=8e9 * (1 + at), task_ns=4e9 * (1 + at)),
-                     NOW, told) for at in range(5)]
+                     NOW + at * SLOT_NS, told) for at in range(5)]
     assert reasons == [None, None, None, Unusable.IMPOSSIBLE, Unusable.IMPOSSIBLE]
 
 
