--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -86,6 +86,15 @@
     assert found == ([made[0], *made[2:]] if why.keys() != {"unreadable"} else made)
 
 
+def test_a_row_without_an_end_takes_no_room_and_spoils_one_row() -> None:
+    reader = PerfReader(Job("a", "m1", "s-1", "games"), NOW - SLOT_NS)
+    for _ in range(1_000):
+        reader.feed(b"7" * 100, NOW)
+        assert len(reader._left) <= LINE_MOST + 1
+    found = [*reader.feed(("\n" + csv(sample(0))).encode(), NOW), *reader.flush()]
+    assert (found, dict(reader.took)) == ([sample(0)], {Unusable.UNREADABLE: 1})
+
+
 def test_perf_started_anew_begins_its_stamps_anew() -> None:
     first, anew = (csv(*(sample(number, cycles=cycles + number) for number in range(3))).encode()
                    for cycles in (2.5e10, 2.4e10))
@@ -125,7 +134,7 @@
     ({"cycles": 0.0}, Unusable.CONTRADICTING), ({"cache_misses": 1e11}, Unusable.IMPOSSIBLE),
     ({"task_ns": 1e15, "cycles": 2e15, "instructions": 2e15}, Unusable.IMPOSSIBLE),
     ({"counted": 0.3}, Unusable.TOO_LITTLE), ({"counted": 1.5}, Unusable.IMPOSSIBLE),
-    ({"span_ns": 16 * SECOND}, Unusable.IMPOSSIBLE), ({"at": NOW + 3_600 * SECOND}, Unusable.SKEWED),
+    ({"span_ns": 16 * SECOND}, Unusable.IMPOSSIBLE), ({"at": NOW + 21 * SECOND}, Unusable.SKEWED),
     ({"at": NOW}, Unusable.CONTRADICTING), ({"at": NOW + 3 * SECOND}, Unusable.CONTRADICTING),
     ({"at": NOW - SLOT_NS}, Unusable.REPEATED), ({"job": "a|b"}, None), ({"job": ""}, Unusable.UNREADABLE),
     ({"cycles": 2.5e10, "instructions": 2e10}, Unusable.REPEATED)]
@@ -142,7 +151,7 @@
 def test_figures_of_one_ratio_are_written_and_not_counted() -> None:
     told = Told()
     reasons = [judge(sample(at, cycles=1e10 * (1 + at), instructions=8e9 * (1 + at), task_ns=4e9 * (1 + at)),
-                     NOW, told) for at in range(5)]
+                     NOW + at * SLOT_NS, told) for at in range(5)]
     assert reasons == [None, None, None, Unusable.IMPOSSIBLE, Unusable.IMPOSSIBLE]
 
 
