--- a/ambershift/modelcheck/registry.py
+++ b/ambershift/modelcheck/registry.py
@@ -20,12 +20,14 @@
     ReplicationLarge,
     ReplicationLate,
     ReplicationModel,
+    ReplicationSmall,
+    ReplicationTokens,
 )
 from ambershift.modelcheck.models.row import RowLarge, RowModel
 
 # Those that are not checked where none is named: for a machine with time, or parts of others.
 BESIDES = {
-    "permits-large", "replication-late", "replication-large", "news-small", "attempt-one-table", "row-large", "news-large",
+    "permits-large", "replication-small", "replication-late", "replication-large", "news-small", "attempt-one-table", "row-large", "news-large",
     "attempt-apart", "attempt-large",
 }
 
@@ -40,8 +42,10 @@
         AttemptModel(),
         PolicyModel(),
         ReplicationModel(),
+        ReplicationTokens(),
         ReplicationFolders(),
         PermitsModel(),
+        ReplicationSmall(),
         ReplicationLate(),
         ReplicationLarge(),
         PermitsLarge(),
