--- a/ambershift/modelcheck/models/permits.py
+++ b/ambershift/modelcheck/models/permits.py
@@ -111,10 +111,10 @@
     sentence = "permits to drain: two that lead, clocks apart, what is sent lands late, twice or never"
     kind = World
     properties = (
-        broken("no-two-break-an-agreement", "At no moment are more servers kept out than the agreement lets."),
-        broken("never-drained-twice", "A server whose work is done, or which is out, is not granted again."),
+        broken("no-two-break-an-agreement", "At no moment are more servers out than the agreement lets."),
+        broken("never-drained-twice", "A server whose work is done, or that is out, is not granted again."),
         broken("never-forgotten-out", "A permit whose end is long past is taken up by whoever leads."),
-        broken("no-grant-while-apart", "A leader whose clock is apart by more than the bound grants nothing."),
+        broken("no-grant-while-apart", "A leader whose clock is apart by more than the bound grants none."),
     )
     depth: int | None = 7
     ticks, crashes, repeats, jumps = 1, 1, 0, 1
--- a/ambershift/modelcheck/mutants/permits.py
+++ b/ambershift/modelcheck/mutants/permits.py
@@ -52,17 +52,17 @@
 
 TWO = "no-two-break-an-agreement"
 MUTANTS: tuple[Mutant, ...] = (
-    Mutant("permit-granted-by-two", "permits", TWO, "a grant stands, whatever was granted since it was judged",
+    Mutant("permit-granted-by-two", "permits", TWO, "a grant stands, whatever came since it was judged",
            machine, "grant", judged_by_anything),
     Mutant("permit-ends-without-clock-bound", "permits", TWO, "what ended by one clock has ended by all",
            Limits, "let_in", no_bound),
-    Mutant("permit-without-an-end", "permits", TWO, "a member that learns nothing keeps a server out for good",
+    Mutant("permit-without-an-end", "permits", TWO, "who learns nothing keeps a server out for good",
            Promises, "kept_out", no_end),
     Mutant("closed-before-all-let-in", "permits", TWO, "a permit is closed while others keep its server out",
            steward, "all_let_in", lambda real: lambda *words: True),
     Mutant("done-is-dropped", "permits", "never-drained-twice", "that the work had its time is not kept",
            machine, "move", done_is_dropped),
-    Mutant("ended-permits-are-left", "permits", "never-forgotten-out", "a drain that ran over is not taken back",
+    Mutant("ended-permits-are-left", "permits", "never-forgotten-out", "a drain that ran over stays",
            Steward, "next_move", ended_ones_are_left),
     Mutant("grants-with-its-clock-apart", "permits", "no-grant-while-apart", "a leader trusts its own clock",
            steward, "clock_apart", lambda real: lambda *words: False),
--- a/ambershift/modelcheck/mutants/replication.py
+++ b/ambershift/modelcheck/mutants/replication.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 from ambershift.modelcheck.mutants.words import Mutant
@@ -175,36 +174,31 @@
 
 
 HELD, ORDER, TWICE, STALE = ("acknowledged-is-held", "one-order", "no-effect-twice", "reads-are-not-stale")
-Change = Callable[[Any], Any]
-
-
-def small(name: str, model: str, broken: str, sentence: str, owner: Any, target: str, change: Change) -> Mutant:
-    return Mutant(name, model, broken, sentence, owner, target, change)
 
 
 MUTANTS: tuple[Mutant, ...] = (
-    small("votes-after-amnesia", "replication-small", ORDER, "a blank member takes itself for a member and votes",
-          birth, "ask", born_at_once),
-    small("recovers-from-anyone", "replication-small", ORDER, "one answer of any member ends a recovery",
-          replica, "HANDLERS", recovered_from_anyone),
-    small("acknowledged-before-majority", "replication-small", HELD, "the leader's own log is enough",
-          leading, "count", counts_itself_alone),
-    small("stale-read", "replication", STALE, "a leader answers reads without a round to a majority",
-          leading, "wait_for_round", reads_without_a_round),
-    small("reads-anywhere", "replication", STALE, "any member answers reads from what it has",
-          requests, "read", any_member_reads),
-    small("older-log-wins", "replication-small", ORDER, "a new leader begins with its own log",
-          views, "count_votes", first_log_wins),
-    small("leads-alone", "replication-small", ORDER, "a new leader needs no other vote",
-          views, "count_leavers", leaves_alone),
-    small("tokens-are-forgotten", "replication-tokens", TWICE, "a token that comes again is written again",
-          Tokens, "get", tokens_are_forgotten),
-    small("vouches-before-sync", "replication-folders", HELD, "what is not on the disk yet counts as held",
-          Core, "durable", log_is_durable),
+    Mutant("votes-after-amnesia", "replication-small", ORDER, "a blank member takes itself for one that votes",
+           birth, "ask", born_at_once),
+    Mutant("recovers-from-anyone", "replication-small", ORDER, "one answer of any member ends a recovery",
+           replica, "HANDLERS", recovered_from_anyone),
+    Mutant("acknowledged-before-majority", "replication-small", HELD, "the leader's own log is enough",
+           leading, "count", counts_itself_alone),
+    Mutant("stale-read", "replication", STALE, "a leader answers reads without a round to a majority",
+           leading, "wait_for_round", reads_without_a_round),
+    Mutant("reads-anywhere", "replication", STALE, "any member answers reads from what it has",
+           requests, "read", any_member_reads),
+    Mutant("older-log-wins", "replication-small", ORDER, "a new leader begins with its own log",
+           views, "count_votes", first_log_wins),
+    Mutant("leads-alone", "replication-small", ORDER, "a new leader needs no other vote",
+           views, "count_leavers", leaves_alone),
+    Mutant("tokens-are-forgotten", "replication-tokens", TWICE, "a token that comes again is written again",
+           Tokens, "get", tokens_are_forgotten),
+    Mutant("vouches-before-sync", "replication-folders", HELD, "what is not on the disk yet counts as held",
+           Core, "durable", log_is_durable),
 )
-# `seed` is one whose history shows it; the property is a part of what is told.
+# `seed` is one whose history shows it; `property` a part of what is told then.
 SIMULATED: tuple[Mutant, ...] = (
-    Mutant("follower-commits-ahead", "simulation", "", "a follower applies what it has up to the leader's mark",
+    Mutant("follower-commits-ahead", "simulation", "", "a follower applies what it has up to a mark",
            following, "commit_to", commits_what_it_has),
     Mutant("keeps-its-tail", "simulation", "", "entries of an older view stay where newer ones belong",
            following, "append", keeps_its_tail),
@@ -216,9 +210,9 @@
            wants, "give_up", nothing_was_written),
     Mutant("snapshot-without-tokens", "simulation", "", "a snapshot leaves out the answers by token",
            Tokens, "all", snapshot_without_tokens),
-    Mutant("old-folder-accepted", "simulation", "", "a folder behind what its member vouched for is taken",
+    Mutant("old-folder-accepted", "simulation", "", "a folder behind its member's word is taken",
            knowing, "judge_myself", older_life_counts),
-    Mutant("recovery-without-the-leader", "simulation", "", "f answers without the newest leader's are enough",
+    Mutant("recovery-without-the-leader", "simulation", "", "f answers without the leader's are enough",
            replica, "HANDLERS", recovered_without_the_leader),
     Mutant("last-log-wins", "simulation", "", "a new leader takes over the log of whoever voted last",
            views, "count_votes", fetched_is_not_counted),
--- a/ambershift/modelcheck/registry.py
+++ b/ambershift/modelcheck/registry.py
@@ -27,8 +27,8 @@
 
 # Those that are not checked where none is named: for a machine with time, or parts of others.
 BESIDES = {
-    "permits-large", "replication-small", "replication-late", "replication-large", "news-small", "attempt-one-table", "row-large", "news-large",
-    "attempt-apart", "attempt-large",
+    "permits-large", "replication-small", "replication-late", "replication-large", "news-small",
+    "attempt-one-table", "row-large", "news-large", "attempt-apart", "attempt-large",
 }
 
 
