--- a/ambershift/replication/birth.py
+++ b/ambershift/replication/birth.py
@@ -36,11 +36,13 @@
         strange(core, sender, "voters")
         return
     if core.status is Status.BLANK and core.fixed.votes:
+        if core.log.top:  # A part of a group, recovered from one that is gone: not blank for another's birth.
+            return
         core.send(sender, Blank(incarnation=core.incarnation, view=0, asked=message.incarnation,
                                 round=message.round))
     elif core.fixed.votes:
         core.vouch(sender, Told(incarnation=core.incarnation, view=core.view, asked=message.incarnation,
-                                round=message.round, normal=core.status is Status.NORMAL, group=core.group,
+                                round=message.round, normal=core.status is Status.NORMAL, group=core.told_group,
                                 number=core.log.top, lives=all_lives(core), birth=birth_of(core),
                                 rows=all_rows(core)))
 
@@ -66,7 +68,7 @@
 def on_blank(core: Core, now: int, sender: str, message: Blank) -> None:
     if core.status is not Status.BLANK or message.asked != core.incarnation or message.round != core.round:
         return
-    if sender not in core.fixed.voters:
+    if sender not in core.fixed.voters or core.log.top:
         return
     before = core.blank_before.get(sender)
     if core.blank_before and before != message.incarnation:  # Started anew: no such moment yet.
--- a/ambershift/replication/core.py
+++ b/ambershift/replication/core.py
@@ -181,6 +181,14 @@
     def leader_of(self, view: int) -> str:
         return self.fixed.voters[view % len(self.fixed.voters)]
 
+    @property
+    def told_group(self) -> str:
+        """The group's id as its first entry has it, committed or not: a newborn one is told from another
+        from its first word on."""
+        if self.group or self.log.base or not self.log.top:
+            return self.group
+        return self.log.at(1).token.removeprefix(GROUP).split(" ")[0]
+
     @property
     def leading(self) -> bool:
         return self.status is Status.NORMAL and self.leader == self.fixed.me
--- a/ambershift/replication/leading.py
+++ b/ambershift/replication/leading.py
@@ -99,7 +99,7 @@
 
 def beat(core: Core, now: int) -> None:
     core.beat_at = now + core.fixed.timing.beat
-    message = Beat(incarnation=core.incarnation, view=core.view, group=core.group, round=core.round,
+    message = Beat(incarnation=core.incarnation, view=core.view, group=core.told_group, round=core.round,
                    top=core.sent_top, committed=core.committed, rows=all_rows(core),
                    voters=core.fixed.voters)
     for name in core.fixed.members:
@@ -138,7 +138,7 @@
 
 def send_batch(core: Core) -> None:
     entries = core.log.after(core.sent_top, core.fixed.timing.batch_bytes)
-    message = Prepare(incarnation=core.incarnation, view=core.view, group=core.group, after=core.sent_top,
+    message = Prepare(incarnation=core.incarnation, view=core.view, group=core.told_group, after=core.sent_top,
                       after_view=max(0, core.log.view_at(core.sent_top)), entries=entries,
                       committed=core.committed)
     core.sent_top += len(entries)
--- a/ambershift/replication/messages.py
+++ b/ambershift/replication/messages.py
@@ -182,6 +182,7 @@
 
 class ReadAsk(Part, frozen=True, tag=16):
     ticket: Count
+    group: Name = ""  # As far as it is known to whoever asks.
 
 
 class ReadAt(Part, frozen=True, tag=17):
--- a/ambershift/replication/requests.py
+++ b/ambershift/replication/requests.py
@@ -51,7 +51,8 @@
         if core.leading:
             ask_to_read(core, core.fixed.me, core.incarnation, ticket)
         else:
-            core.send(core.leader, ReadAsk(incarnation=core.incarnation, view=core.view, ticket=ticket))
+            core.send(core.leader, ReadAsk(incarnation=core.incarnation, view=core.view, ticket=ticket,
+                                            group=core.group))
         return
     core.attempt += 1
     tries = (*want.open, core.attempt) if len(want.open) < 8 else (LOST, *want.open[-6:], core.attempt)
@@ -97,7 +98,8 @@
 
 
 def on_read_ask(core: Core, now: int, sender: str, message: ReadAsk) -> None:
-    if message.view == core.view:
+    # Another group, which lived before all was lost, is not told what is read here.
+    if message.view == core.view and message.group in ("", core.told_group):
         ask_to_read(core, sender, message.incarnation, message.ticket)
 
 
