Take what is applied one after the other to the desk as one

A log caught up with entry by entry looked through all that waits once an entry: 400 wishes cost 80,000 looks, a log of 4,096 some eight million, on the coordinator's loop.

--- a/ambershift/admin/adopt.py
+++ b/ambershift/admin/adopt.py
@@ -34,8 +34,10 @@
     def relend(self, world: World, now: int) -> World:
         raise NotImplementedError
 
-    def adopt(self, now: int, wishes: Mapping[int, Standing], who: str, text: str) -> tuple[int, ...]:
-        """Take over wishes that stand; those for servers that are not listed yet wait until they are."""
+    def adopt(self, now: int, wishes: Mapping[int, Standing], said: Sequence[tuple[str, str]]
+              ) -> tuple[int, ...]:
+        """Take over wishes that stand; those for servers that are not listed yet wait until they are. `said`
+        has who said what, command by command."""
         world, changed = self.world, list[int]()
         for server, wish in wishes.items():
             if server not in world.listed:
@@ -45,8 +47,9 @@
                 if old._replace(origin=wish.origin) != wish:
                     changed.append(server)
         if changed:
-            self.commands += 1
-            self.ledger.note(now, "command", who, text)
+            self.commands += len(said)
+            for who, text in said:
+                self.ledger.note(now, "command", who, text)
         self.take_up(now, changed)
         if not self.mirror.picture.seats:
             # A member that catches up: no proxy costs a line yet, and the first to come must find all told.
--- a/ambershift/group/at_desk.py
+++ b/ambershift/group/at_desk.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from ambershift import interface as api
 from ambershift.admin.desk import Desk
@@ -21,17 +21,31 @@
                  moved: Callable[[], None]) -> None:
         self.desk, self.door, self.now, self.ahead, self.moved = desk, door, now, ahead, moved
         self.state = EMPTY
+        self.gathered, self.said = dict[str, None](), list[tuple[str, str]]()
         self.holds = True  # False while this member's clock is apart: then nothing is kept out by permits.
 
-    def wishes(self, state: Promises, servers: Iterable[str], who: str, text: str) -> None:
-        """These servers' wishes are others now."""
+    def gather(self, state: Promises, servers: Iterable[str], who: str, text: str) -> None:
+        """As `wishes`, once `flush` is called: what is applied one after the other is taken as one."""
+        self.gathered.update(dict.fromkeys(servers))
+        self.said.append((who, text))
+        self.state = state
+
+    def flush(self) -> None:
+        if self.gathered:
+            gathered, said = list(self.gathered), self.said
+            self.gathered, self.said = {}, []
+            self.wishes(self.state, gathered, said)
+
+    def wishes(self, state: Promises, servers: Iterable[str], said: Sequence[tuple[str, str]]) -> None:
+        """These servers' wishes are others now; `said` has who said what. All that came together is taken in
+        one go: each costs a look through all that waits."""
         self.state = state
         found = dict[int, Standing]()
         for server in servers:
             index = self.door.known(server)
             if index is not None:
                 found[index] = state.wish(server)
-        self.desk.adopt(self.now(), found, who, text)
+        self.desk.adopt(self.now(), found, said)
         self.moved()
 
     def permits(self, state: Promises) -> None:
@@ -42,7 +56,8 @@
     def all(self, state: Promises) -> None:
         """A snapshot took the place of what was known: whatever stands is taken over at once."""
         own = [self.door.ids[one] for one in self.desk.world.standing if one in self.door.ids]
-        self.wishes(state, dict.fromkeys((*own, *state.wishes)), "group", "what stands in the group")
+        self.wishes(state, dict.fromkeys((*own, *state.wishes)),
+                    [("group", "what stands in the group")])
         self.permits(state)
 
     def before_list(self, event: api.Listed) -> None:
--- a/ambershift/group/member.py
+++ b/ambershift/group/member.py
@@ -153,6 +153,8 @@
     def perform(self, effects: list[Any]) -> None:
         again: tuple[int, str] | None = None
         for effect in effects:
+            if not isinstance(effect, Applied):
+                self.at_desk.flush()
             match effect:
                 case Send():
                     self.links.send(effect.to, Kind.REPLICA, messages.encode(effect.message))
@@ -174,6 +176,7 @@
                         self.renewed, again = True, (time.time_ns(), "")
                     else:
                         self.halt(effect.reason.value, effect.why)
+        self.at_desk.flush()
         if again is not None:
             self.start_again(*again)
         self.arm()
@@ -182,8 +185,9 @@
         command, outcome = decode(effect.entry.command), read_answer(effect.answer)
         if outcome.done and outcome.changed:
             if isinstance(command, Wishes):
-                self.at_desk.wishes(effect.state, outcome.changed, command.who, command.text)
+                self.at_desk.gather(effect.state, outcome.changed, command.who, command.text)
             else:
+                self.at_desk.flush()
                 self.at_desk.permits(effect.state)
         for listener in self.listeners:
             listener(effect.state, command)
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -68,7 +68,7 @@
         outcome = read_answer(answer)
         if outcome.done and outcome.changed:
             if isinstance(command, Wishes):
-                self.at_desk.wishes(self.held, outcome.changed, command.who, command.text)
+                self.at_desk.wishes(self.held, outcome.changed, [(command.who, command.text)])
             else:
                 self.at_desk.permits(self.held)
         return outcome
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -10,7 +10,7 @@
 from test_group import Member as Virtual
 from test_group import declare, out, permit
 
-from ambershift.admin.words import State
+from ambershift.admin.words import State, Weight
 from ambershift.group.counting import Counting
 from ambershift.group.disk.folder import DiskError, Folder
 from ambershift.group.gossip import Steers
@@ -21,13 +21,14 @@
 from ambershift.group.rows import member_rows
 from ambershift.group.spec import Spec
 from ambershift.interference.records import Put
+from ambershift.promises.answers import encode as encode_command
 from ambershift.promises.answers import read_answer
 from ambershift.promises.machine import PromisesMachine
 from ambershift.promises.words import Grant
 from ambershift.replication.heard.messages import encode
 from ambershift.replication.heard.store import Store
 from ambershift.replication.heard.words import Kind as Heard
-from ambershift.replication.words import Reason
+from ambershift.replication.words import Applied, Entry, Note, Reason
 from ambershift.standins.world import until
 
 S = 1_000_000_000
@@ -221,3 +222,25 @@
         assert eased == [{"s0": 0.8}]
         counting.close()
     play(act)
+
+
+def test_a_log_that_is_caught_up_with_goes_to_the_desk_as_one() -> None:
+    """Entry by entry, each would cost a look through all that waits: minutes for a long log."""
+    async def act(member: Member, desk: Virtual, log: Any) -> None:
+        calls, taken = list[int](), member.at_desk.wishes
+
+        def wishes(state: Any, servers: Any, said: Any) -> None:
+            calls.append(len(said))
+            taken(state, servers, said)
+        member.at_desk.wishes = wishes  # type: ignore[method-assign]
+        effects, state = list[Any](), member.state
+        for number in range(1, 401):
+            command = desk.wish((number % 6, {"weight": (number / 1000, True)}), who=f"op{number}")
+            entry = Entry(1, number, 1, "", encode_command(command))
+            state, answer = member.machine.apply(state, entry)
+            effects.append(Applied(entry, answer, state))
+        member.perform([*effects[:200], Note("x", {}), *effects[200:]])
+        assert calls == [200, 200] and desk.desk.commands == 400
+        assert [one.who for one in desk.desk.ledger.records][-1] == "op400"
+        assert desk.desk.world.own(4).weight == Weight(0.4, True)
+    play(act)
