--- a/ambershift/admin/adopt.py
+++ b/ambershift/admin/adopt.py
@@ -36,13 +36,11 @@
 
     def adopt(self, now: int, wishes: Mapping[int, Standing], said: Sequence[tuple[str, str]]
               ) -> tuple[int, ...]:
-        """Take over wishes that stand; those for servers that are not listed yet wait until they are. `said`
-        has who said what, command by command."""
+        """Take over wishes that stand. Of servers that are not listed yet `ahead` must tell when they come.
+        `said` has who said what, command by command."""
         world, changed = self.world, list[int]()
         for server, wish in wishes.items():
-            if server not in world.listed:
-                self.ahead[server] = wish
-            elif (old := world.own(server)) != wish:
+            if server in world.listed and (old := world.own(server)) != wish:
                 world = world.with_wish(server, wish)
                 if old._replace(origin=wish.origin) != wish:
                     changed.append(server)
