--- a/ambershift/replication/birth.py
+++ b/ambershift/replication/birth.py
@@ -59,8 +59,8 @@
     elif core.fixed.votes:
         core.vouch(sender, Told(incarnation=core.incarnation, view=core.view, asked=message.incarnation,
                                 round=message.round, normal=core.status is Status.NORMAL,
-                                group=core.told_group, number=core.log.top, lives=all_lives(core), birth=birth_of(core),
-                                rows=all_rows(core)))
+                                group=core.told_group, number=core.log.top, lives=all_lives(core),
+                                birth=birth_of(core), rows=all_rows(core)))
 
 
 def birth_of(core: Core) -> Lives:
