--- a/ambershift/interference/engine.py
+++ b/ambershift/interference/engine.py
@@ -12,21 +12,21 @@
 from typing import NamedTuple
 
 from ambershift.interference import records
-from ambershift.interference.node import Node
-from ambershift.interference.normal import Normal, Sketch, liars, normal
-from ambershift.interference.pooled import lost, median, pairs, scores
+from ambershift.interference.held import Held
+from ambershift.interference.node import SLOT_NS, Node
+from ambershift.interference.normal import liars
+from ambershift.interference.pooled import lost, pairs, scores
 from ambershift.interference.records import Baseline, Evidence, Put, UnreadableError
 from ambershift.interference.sift import judge
 from ambershift.interference.words import Sample, Score, Unusable
 from ambershift.replication.heard import Kind, Record
 
-MINUTE = 60_000_000_000
 BEAT_NS = 1_000_000_000
 SLICE = 16  # Nodes that are looked at in one call of `due`, so that no call takes long.
-OLD_NS = 30 * MINUTE  # Evidence older than this, by the middle of the members' newest, no longer counts.
-SCORE_NS = MINUTE // 2  # Scores are worked out so often at most.
-LATELY_NS = 11 * MINUTE  # Nor does what a server suffers.
-FORGET_NS = 120 * MINUTE  # A job that is silent for so long is forgotten.
+OLD = 180  # Slots. Evidence that is older, by the middle of the members' newest, no longer counts.
+SCORE_AFTER = 3  # Scores are worked out so often at most.
+LATELY = 66  # Nor does what a server suffers.
+FORGET = 720  # A job that is silent for so long is forgotten.
 
 
 class Bounds(NamedTuple):
@@ -52,21 +52,18 @@
 
 
 class Engine:
-    def __init__(self, me: str, ease: bool = False, ease_most: float = 0.2, bounds: Bounds | None = None
-                 ) -> None:
-        self.me, self.ease, self.ease_most = me, ease, ease_most
+    def __init__(self, me: str, ease: bool = False, ease_most: float = 0.2, slot_ns: int = SLOT_NS,
+                 bounds: Bounds | None = None) -> None:
+        """`slot_ns` is the interval of perf, the same at all members."""
+        self.me, self.ease, self.ease_most, self.slot_ns = me, ease, ease_most, slot_ns
         self.bounds = bounds or Bounds()
         self.unusable = Counter[str]()  # By words.Unusable, and `too-many`, `unreadable-record`, `too-late`.
         self.taken = 0
         self.next_at = 0
         self._nodes = dict[str, Node]()
-        self._evidence = dict[tuple[str, str], Evidence]()  # By origin and key.
-        self._baselines = dict[str, dict[str, Baseline]]()  # By key and origin.
-        self._held = 0  # Baselines, of all origins.
-        self._pools = dict[tuple[str, str], dict[str, Sketch]]()
-        self._normals = dict[tuple[str, str], Normal | None]()
+        self._held = Held(self.bounds.heard, slot_ns, self.unusable)
         self._given = dict[tuple[Kind, str], bytes]()
-        self._stale, self._scored_at = True, 0
+        self._scored_at = 0
         self._scores = list[Score]()
         self._liars = frozenset[str]()
         self._current = dict[str, Evidence]()  # By job, the newest of nodes that don't lie.
@@ -88,11 +85,11 @@
         if node is None:
             if len(self._nodes) >= self.bounds.nodes:
                 return "too-many"
-            node = Node(sample.node)
+            node = Node(sample.node, self.slot_ns)
         job = node.job(sample, self.bounds.jobs)
         if job is None:
             return "too-many"
-        why = judge(sample, now, job.told)
+        why = judge(sample, now, job.told, self.slot_ns)
         if why is not None:
             if not job.last:
                 node.forget(sample.job)  # What never told anything of use takes no place.
@@ -105,72 +102,22 @@
         if record.kind not in (Kind.MET, Kind.BASELINE) or record.origin == self.me:
             return
         try:
-            self._hold(record.origin, Kind(record.kind), record.key, record.body)
+            self._held.hold(record.origin, Kind(record.kind), record.key, record.body)
         except UnreadableError:
             self.unusable["unreadable-record"] += 1
-            self._hold(record.origin, Kind(record.kind), record.key, b"")
-
-    def _hold(self, origin: str, kind: Kind, key: str, body: bytes) -> None:
-        place, self._stale = (origin, key), True
-        if kind is Kind.MET:
-            if not body:
-                self._evidence.pop(place, None)
-            elif place in self._evidence or len(self._evidence) < self.bounds.heard:
-                self._evidence[place] = records.read_evidence(key, body)
-            else:
-                self.unusable["too-many"] += 1
-            return
-        found = records.read_baseline(key, body) if body else None
-        told = self._baselines.setdefault(key, {})
-        one = told.pop(origin, None)
-        self._held -= one is not None
-        if found is not None and self._held >= self.bounds.heard:
-            self.unusable["too-many"] += 1
-        elif found is not None:
-            one = told[origin] = found
-            self._held += 1
-        if not told:
-            del self._baselines[key]
-        if one is not None:
-            self._repool(one, told)
-
-    def _repool(self, one: Baseline, told: Mapping[str, Baseline]) -> None:
-        """The newest sketch of this node, of whatever origin."""
-        place = one.kind, one.group
-        pool = self._pools.setdefault(place, {})
-        self._normals.pop(place, None)
-        if told:
-            pool[one.node] = max(each.sketch for each in told.values())
-        else:
-            pool.pop(one.node, None)
-        if not pool:
-            del self._pools[place]
-
-    def now_of_all(self) -> int:
-        """The middle of the members' newest evidence: what counts as old is the same for all."""
-        newest = dict[str, int]()
-        for (origin, _), one in self._evidence.items():
-            newest[origin] = max(newest.get(origin, 0), one.at)
-        return int(median(newest.values())) if newest else 0
-
-    def _normal(self, kind: str, group: str) -> Normal | None:
-        if (kind, group) not in self._normals:
-            pool = self._pools.get((kind, group), {})
-            newest = max((one.at for one in pool.values()), default=0)
-            self._normals[kind, group] = normal(pool, newest, self._liars)
-        return self._normals[kind, group]
+            self._held.hold(record.origin, Kind(record.kind), record.key, b"")
 
     def due(self, now: int) -> list[Put]:
         """What changed and should be given out. Call it again at `next_at`; each call is short."""
         made = list[Put]()
         ripe = [node for node in self._nodes.values() if node.ripe(now)]
         for node in ripe[:SLICE]:
-            block = node.look(now, self._normal)
+            block = node.look(now, self._held.normal)
             self.unusable[Unusable.ALL_SLOW.value] += block.all_slow
             made += self._give(node, block.evidence)
         if not ripe:
             made += self._forget(now)
-            if now - self._scored_at >= SCORE_NS:
+            if now - self._scored_at >= SCORE_AFTER * self.slot_ns:
                 self._scored_at = now
                 self.refresh()
         self.next_at = now + (BEAT_NS // 20 if len(ripe) > SLICE else BEAT_NS)
@@ -194,13 +141,13 @@
             self._given[put.kind, put.key] = put.body
         else:
             self._given.pop((put.kind, put.key), None)
-        self._hold(self.me, put.kind, put.key, put.body)
+        self._held.hold(self.me, put.kind, put.key, put.body)
 
     def _forget(self, now: int) -> list[Put]:
         """Jobs and nodes that are silent for long are taken back."""
         made = list[Put]()
         for name, node in list(self._nodes.items()):
-            for job in [job for job, one in node.jobs.items() if now - one.last > FORGET_NS]:
+            for job in [job for job, one in node.jobs.items() if now - one.last > FORGET * self.slot_ns]:
                 made.append(Put(Kind.MET, records.met_key(name, job), b""))
                 kind, group = node.jobs[job].kind, node.jobs[job].group
                 node.forget(job)
@@ -215,24 +162,23 @@
 
     def refresh(self) -> None:
         """Work the scores out of all that is held. `due` does it by itself; what reads never waits for it."""
-        if not self._stale:
+        if not self._held.changed:
             return
-        self._stale = False
-        now = self.now_of_all()
-        found = liars(self._pools)
-        if found != self._liars:
-            self._liars = found
-            self._normals.clear()
+        self._held.changed = False
+        now = self._held.now()
+        self._liars = found = liars(self._held.pools)
+        self._held.leave_out(found)
         newest = dict[tuple[str, str], Evidence]()
-        for _, one in sorted(self._evidence.items(), key=lambda item: item[0]):
+        for _, one in sorted(self._held.evidence.items(), key=lambda item: item[0]):
             place = one.node, one.job
-            if now - one.at <= OLD_NS and (place not in newest or one.at > newest[place].at):
+            if now - one.at <= OLD * self.slot_ns and (place not in newest or one.at > newest[place].at):
                 newest[place] = one
         self._scores = scores(pairs(newest.values(), found))
         self._current = {}
         for _, one in sorted(newest.items(), key=lambda item: item[0]):
             before = self._current.get(one.job)
-            if one.node not in found and now - one.at <= LATELY_NS and (before is None or one.at > before.at):
+            fresh = now - one.at <= LATELY * self.slot_ns and (before is None or one.at > before.at)
+            if fresh and one.node not in found:
                 self._current[one.job] = one
 
     def scores(self) -> list[Score]:
@@ -257,8 +203,8 @@
             return {}
         found = dict[str, float]()
         for server, one in self._current.items():
-            part = min(self.ease_most, self.interfered(server)) if now - one.at <= 2 * LATELY_NS else 0.0
-            if part > 0.0:
+            part = min(self.ease_most, self.interfered(server))
+            if part > 0.0 and now - one.at <= 2 * LATELY * self.slot_ns:
                 found[server] = round(1.0 - part, 6)
         return found
 
@@ -269,7 +215,7 @@
         made.sort(key=lambda row: (not row.accused, row.victim, row.suspect))
         scored = {row.victim for row in made}
         reasons = {(one.group, one.reason) for one in self._current.values() if one.reason}
-        reasons |= {(one.group, Unusable.NODE_LIES.value) for one in self._evidence.values()
+        reasons |= {(one.group, Unusable.NODE_LIES.value) for one in self._held.evidence.values()
                     if one.node in self._liars}
         made += [Row(group, "-", 0.0, 0.0, 0.0, 1.0, 0, suffering[group], False, reason)
                  for group, reason in sorted(reasons)
--- a/ambershift/maintenance/agreements.py
+++ b/ambershift/maintenance/agreements.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
-from math import ceil, floor
+from collections.abc import Mapping, Sequence
+from math import ceil
 from typing import NamedTuple
 
 from ambershift.maintenance.words import Permit, Refusal, Standing, Tenant, Trouble
@@ -49,8 +49,10 @@
 
 def worth(standing: Standing) -> int:
     """Its capacity in millionths: what neighbours take from it is not there."""
-    left = standing.weight * (1 - min(1.0, max(0.0, standing.interfered)))
-    return floor(left * FINE) if left > 0 else 0
+    left = standing.weight
+    if standing.interfered > 0:
+        left *= 1 - min(1.0, standing.interfered)
+    return int(left * FINE) if left > 0 else 0
 
 
 class Room:
@@ -58,6 +60,7 @@
 
     def __init__(self, tenants: Sequence[Tenant], servers: Mapping[str, Standing], at: int) -> None:
         self.tenants, self.servers, self.at, self.users = tuple(tenants), servers, at, Users(tenants)
+        self.named = {tenant.name: tenant for tenant in tenants}
         self.capacity = {tenant.name: 0 for tenant in tenants}
         self.needed = {tenant.name: ceil(tenant.agreement.capacity * FINE) for tenant in tenants}
         self.outs = {tenant.name: 0 for tenant in tenants}
@@ -96,23 +99,20 @@
             self.shift(server, -1)
             del self.out[server]
 
-    def broken(self, names: Iterable[str] | None = None) -> Binds | None:
-        """The first agreement that does not hold as it stands, of these tenants or of all."""
-        chosen = None if names is None else set(names)
-        for tenant in self.tenants:
-            if chosen is not None and tenant.name not in chosen:
-                continue
-            if self.capacity[tenant.name] < self.needed[tenant.name]:
-                return Binds(Refusal.CAPACITY, tenant.name)
-            if self.outs[tenant.name] > tenant.agreement.out_most:
-                return Binds(Refusal.OUT_MOST, tenant.name)
+    def lacks(self, tenant: Tenant) -> Binds | None:
+        """What its agreement lacks as it stands."""
+        if self.capacity[tenant.name] < self.needed[tenant.name]:
+            return Binds(Refusal.CAPACITY, tenant.name)
+        if self.outs[tenant.name] > tenant.agreement.out_most:
+            return Binds(Refusal.OUT_MOST, tenant.name)
         return None
 
     def refuses(self, server: str) -> Binds | None:
         """What would not hold were it out too."""
         known = server in self.out
         self.take(server)
-        found = self.broken(self.out[server])
+        found = next((binds for name in self.out[server]
+                      if (binds := self.lacks(self.named[name])) is not None), None)
         if not known:
             self.give(server)
         return found
--- a/ambershift/maintenance/board.py
+++ b/ambershift/maintenance/board.py
@@ -8,12 +8,13 @@
 
 from bisect import bisect_left
 from collections.abc import Iterable, Mapping, Sequence
+from functools import reduce
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
 from ambershift.maintenance.agreements import Binds, Room, Users, usable, worth
 from ambershift.maintenance.limits import Limits
-from ambershift.maintenance.windows import DAY, Span, shared_spans
+from ambershift.maintenance.windows import DAY, Span, common, tenant_spans
 from ambershift.maintenance.words import Declared, Refusal, Standing, Tenant, Work
 
 WAVE_MOST = 256  # A grant is one entry of the log.
@@ -54,15 +55,19 @@
 class Spans:
     """When all tenants of a server let maintenance be, from two days back to as far as is looked ahead."""
 
-    def __init__(self, at: int, limits: Limits) -> None:
-        self.since, self.until = at - 2 * DAY, at + limits.ahead
-        self.known = dict[tuple[str, ...], list[Span]]()
+    def __init__(self, at: int, ahead: int) -> None:
+        self.since, self.until = at - 2 * DAY, at + ahead
+        self.known, self.each = dict[tuple[str, ...], list[Span]](), dict[str, list[Span]]()
 
     def of(self, tenants: tuple[Tenant, ...]) -> list[Span]:
         """The tenants are all of one declaration, so that their names tell them."""
         names = tuple(tenant.name for tenant in tenants)
         if (found := self.known.get(names)) is None:
-            found = self.known[names] = shared_spans(tenants, self.since, self.until)
+            for tenant in tenants:
+                if tenant.name not in self.each:
+                    self.each[tenant.name] = tenant_spans(tenant, self.since, self.until)
+            own = [self.each[name] for name in names]
+            found = self.known[names] = reduce(common, own) if own else [Span(self.since, self.until)]
         return found
 
     def fresh(self, at: int) -> bool:
@@ -71,7 +76,8 @@
 
 def order(work: Work, place: int, standing: Standing) -> Order:
     # Work that is only asked for when it could be done pushes nobody.
-    rank = 2.0 if work.before == NEVER else -round(standing.interfered, 2)
+    hurt = standing.interfered
+    rank = 2.0 if work.before == NEVER else -round(hurt, 2) if hurt > 0 else 0.0
     return rank, work.before, -work.takes_ns, place, standing.server
 
 
@@ -80,12 +86,17 @@
     """The jobs, each a work, a server that is listed and a time, in groups; best first in each."""
     places = {work.name: place for place, work in enumerate(declared.works)}
     users, groups = Users(declared.tenants), dict[tuple[str, int, tuple[str, ...], bool], Group]()
+    known = dict[tuple[str, int, str, bool], Group]()  # By zone, so that tenants are looked at once a zone.
     for work, server, not_before in jobs:
         standing = servers[server]
-        tenants, here = users.of(standing.zone), usable(standing, at)
-        key = work.name, work.before, tuple(tenant.name for tenant in tenants), here
-        if (group := groups.get(key)) is None:
-            group = groups[key] = Group(work, tenants, spans.of(tenants), limits.whole(work.takes_ns))
+        here = usable(standing, at)
+        short = work.name, work.before, standing.zone, here
+        if (group := known.get(short)) is None:
+            tenants = users.of(standing.zone)
+            key = work.name, work.before, tuple(tenant.name for tenant in tenants), here
+            if (group := groups.get(key)) is None:
+                group = groups[key] = Group(work, tenants, spans.of(tenants), limits.whole(work.takes_ns))
+            known[short] = group
         group.jobs.append(Job(order(work, places[work.name], standing), work, server,
                               worth(standing) if here else 0, not_before))
     for group in groups.values():
