--- a/ambershift/replication/birth.py
+++ b/ambershift/replication/birth.py
@@ -58,9 +58,9 @@
                                 round=message.round))
     elif core.fixed.votes:
         core.vouch(sender, Told(incarnation=core.incarnation, view=core.view, asked=message.incarnation,
-                                round=message.round, normal=core.status is Status.NORMAL, group=core.told_group,
-                                number=core.log.top, lives=all_lives(core), birth=birth_of(core),
-                                rows=all_rows(core)))
+                                round=message.round, normal=core.status is Status.NORMAL,
+                                group=core.told_group, number=core.log.top, lives=all_lives(core),
+                                birth=birth_of(core), rows=all_rows(core)))
 
 
 def birth_of(core: Core) -> Lives:
--- a/ambershift/replication/following.py
+++ b/ambershift/replication/following.py
@@ -110,9 +110,9 @@
     after, timing = message.after, core.fixed.timing
     if after >= core.log.base:
         entries = core.log.after(after, timing.chunk_bytes) if after < core.log.top else ()
-        core.send(sender, Chunk(incarnation=core.incarnation, view=core.view, group=core.told_group, after=after,
-                                entries=entries, top=core.log.top, committed=core.committed, snapshot=0,
-                                offset=0, total=0, data=b""))
+        core.send(sender, Chunk(incarnation=core.incarnation, view=core.view, group=core.told_group,
+                                after=after, entries=entries, top=core.log.top, committed=core.committed,
+                                snapshot=0, offset=0, total=0, data=b""))
         return
     assert core.snapshot is not None
     offset = message.offset if message.snapshot == core.snapshot.number else 0
--- a/ambershift/replication/leading.py
+++ b/ambershift/replication/leading.py
@@ -148,9 +148,9 @@
 
 def send_batch(core: Core) -> None:
     entries = core.log.after(core.sent_top, core.fixed.timing.batch_bytes)
-    message = Prepare(incarnation=core.incarnation, view=core.view, group=core.told_group, after=core.sent_top,
-                      after_view=max(0, core.log.view_at(core.sent_top)), entries=entries,
-                      committed=core.committed)
+    message = Prepare(incarnation=core.incarnation, view=core.view, group=core.told_group,
+                      after=core.sent_top, after_view=max(0, core.log.view_at(core.sent_top)),
+                      entries=entries, committed=core.committed)
     core.sent_top += len(entries)
     core.batches.append(core.sent_top)
     for name in core.fixed.members:
