--- a/ambershift/replication/replica.py
+++ b/ambershift/replication/replica.py
@@ -97,10 +97,9 @@
         task = core.fetching
         if task is not None and task.source == member and task.at:
             core.fetching = task._replace(at=min(task.at, now - core.fixed.timing.fetch // 2))
-        if member == core.leader and core.status is Status.NORMAL and not core.leading:
-            # It may be gone with the link: half of the silence counts as over.
-            core.leader_heard = min(core.leader_heard, now - core.fixed.timing.agree)
         if member == core.leader:
+            if core.status is Status.NORMAL and not core.leading:  # Half of the silence counts as over.
+                core.leader_heard = min(core.leader_heard, now - core.fixed.timing.agree)
             for ticket, want in core.wants.items():
                 core.keep_want(ticket, want._replace(
                     retry_at=min(want.retry_at, now + core.fixed.timing.beat)))
@@ -228,8 +227,7 @@
         for name in core.fixed.members:
             row, heard = rows.get(name), 0 if name == core.fixed.me else now - core.heard.get(name, now + 1)
             status = core.status.value if name == core.fixed.me else row.status if row else "unknown"
-            leads = name == self.leader
-            found.append(MemberRow(name, name in core.fixed.voters, leads, status,
+            found.append(MemberRow(name, name in core.fixed.voters, name == self.leader, status,
                                    core.lives.get(name, 0), row.committed if row else 0, heard))
         return tuple(found)
 
