Replica: let one that went blank again be told of its birth

Seen in histories: a member that was stopped at birth went blank, two others lost their memory, and those that still knew of its birth could not bring it back, as other lives of that birth had ended.

--- a/ambershift/replication/birth.py
+++ b/ambershift/replication/birth.py
@@ -124,9 +124,9 @@
     learn_rows(core, message.rows)
     if core.status is not Status.BLANK:  # Halted by what it learnt.
         return
-    ended = any(core.lives.get(name, 0) > incarnation for name, incarnation in message.birth)
-    if (core.fixed.me, core.incarnation) in message.birth and not ended:
-        # It was blank at that moment and has been since: as good as one that was born then, and is slow.
+    if (core.fixed.me, core.incarnation) in message.birth:
+        # It was blank at that moment and has been since: as good as one that was born then, and is slow. No
+        # ended life can tell it of a birth before the last: whoever answered that one's Ask knows who lives.
         be_born(core, now, message.birth)
         return
     core.blank_before, core.blank_now = {}, {}
