--- a/ambershift/group/at_desk.py
+++ b/ambershift/group/at_desk.py
@@ -90,8 +90,6 @@
 
     def drained(self, server: str) -> bool:
         """Shut out at every proxy that this coordinator steers, and no try told any more."""
-        if not self.holds:
-            return False
         index = self.door.known(server)
         return index is None or index not in self.desk.world.listed or self.desk.drained(
             [index], self.now())
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -109,6 +109,10 @@
     member.at_desk.all(member.held)
     member.settle()
     assert member.shuts() == [0] and member.desk.commands == 1
+    # The same wish by another's word, as when it was taken back and given again while this one was away.
+    again = member.held.wish("s0")._replace(origin=Origin("z", 7, 7))
+    member.at_desk.all(member.held._replace(wishes=member.held.wishes.insert("s0", again)))
+    assert not member.desk.waiting and member.desk.world.own(0).origin.who == "z"
     member.at_desk.all(EMPTY._replace(wishes=member.held.wishes.insert("s2", Standing(
         DRAIN, Health.UP, None, Origin("x", 1, 2)))))
     member.settle()
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -28,7 +28,7 @@
 from ambershift.replication.heard.messages import encode
 from ambershift.replication.heard.store import Store
 from ambershift.replication.heard.words import Kind as Heard
-from ambershift.replication.words import Applied, Entry, Note, Reason
+from ambershift.replication.words import Applied, Entry, Halt, Note, Reason
 from ambershift.standins.world import until
 
 S = 1_000_000_000
@@ -111,7 +111,7 @@
         member.came("b")
         member.refused("c", Refused(reason, "why", 9))
         # What is wrong in the settings over there may be mended there.
-        assert bool(member.halted) == (reason is not Close.OTHER_MEMBERS)
+        assert (member.halted and member.halted[0]) == (None if reason is Close.OTHER_MEMBERS else reason)
     play(act, "a", "b", "c")
 
 
@@ -248,3 +248,20 @@
         assert [one.text for one in desk.desk.ledger.records][-1] == "apply of 2 lines"  # A record is a line.
         assert desk.desk.world.own(4).weight == Weight(0.4, True)
     play(act)
+
+
+@pytest.mark.parametrize("folder", [False, True])
+def test_an_old_folder_is_set_aside_and_a_blank_life_begins(folder: bool, tmp_path: Path) -> None:
+    async def act(member: Member, desk: Virtual, log: Any) -> None:
+        await member.submit("", desk.wish(*out(0)), 5 * S)
+        before = member.life.incarnation
+        member.perform([Halt(Reason.OLD_FOLDER, "it forgot")])
+        assert member.halted and maintained(desk)
+        if not folder:
+            assert member.halted[0] == "old-folder"
+            return
+        await until(lambda: not member.halted)
+        assert member.life.incarnation > before and member.life.saved is None
+        assert [fields["reason"] for event, fields in log if event == "folder_set_aside"] == ["old-folder"]
+        assert len(list((tmp_path / "f").glob("*.aside-*old-folder"))) == 2
+    play(act, folder=str(tmp_path / "f") if folder else "")
