--- a/tests/test_group_processes.py
+++ b/tests/test_group_processes.py
@@ -353,6 +353,9 @@
         async def drained() -> bool:
             return fleet.unused("s-0")
         await rig.eventually(drained, 20, "drained at the proxies of all")
+        # A log so long that one who applies it anew must not take it for a flood of commands, and wait.
+        await asyncio.gather(*(rig.tell(rig.names[turn % 3], f"set weight {title(rig, 7)} {turn + 1}")
+                               for turn in range(80)))
         at = rig.now()
         first = await rig.leader()
         await rig.kill(first, wipe=True)
