--- a/ambershift/modelcheck/models/permits.py
+++ b/ambershift/modelcheck/models/permits.py
@@ -33,10 +33,12 @@
 TAKES = 6 * SECOND
 SERVERS = ("s0", "s1")
 MACHINE = PromisesMachine()
-DECLARED = Declared(1, (Tenant("t", (), (), (), Agreement(1.0, 1, 0, ()), (
+DECLARED = Declared(1, (Tenant("t", (), (), (), Agreement(0.5, 1, 0, ()), (
     Window("night", "FREQ=DAILY", "2026-12-01T02:00:00", 10 * 3600 * SECOND, "UTC"),)),),
     (Work("kernel", SERVERS, TAKES, START + 5 * 3600 * SECOND, 0),))
-STANDINGS = {name: Standing(name, "z", 1.0, None, 0) for name in SERVERS}
+# The second leader has seen s1 interfered with, so that the two choose differently.
+STANDINGS = tuple({name: Standing(name, "z", 1.0, None, 0, worse * (name == "s1")) for name in SERVERS}
+                  for worse in (0.0, 0.4))
 spans = dict[str, Any]()  # The openings, read once.
 
 
@@ -161,7 +163,7 @@
     def thinks(self, world: World, member: int) -> Iterator[Step[World]]:
         one, state = steward(world, member), known(world, member)
         at = world.at + world.clocks[member]
-        commands = one.due(world.at, at, state, STANDINGS, heard(world, member))
+        commands = one.due(world.at, at, state, STANDINGS[member], heard(world, member))
         spans.setdefault("all", one.spans)
         drains = None if one.drains is None else tuple(sorted(one.drains.items()))
         mind = Mind(tuple(sorted(one.sent.items())), one.granted_at, one.granted_on, drains)
@@ -224,6 +226,13 @@
         return told
 
 
+class PermitsSmall(PermitsModel):
+    name = "permits-small"
+    sentence = "as above, with nothing on its way, and clocks that stay"
+    ticks, crashes, jumps, wire_most = 2, 0, 0, 0
+    depth = 9
+
+
 class PermitsLarge(PermitsModel):
     name = "permits-large"
     sentence = "as above, with more time, repeats, and a third member that learns late"
--- a/ambershift/modelcheck/registry.py
+++ b/ambershift/modelcheck/registry.py
@@ -13,7 +13,7 @@
 )
 from ambershift.modelcheck.models.collector import CollectorModel
 from ambershift.modelcheck.models.news import NewsLarge, NewsModel, NewsSmall
-from ambershift.modelcheck.models.permits import PermitsLarge, PermitsModel
+from ambershift.modelcheck.models.permits import PermitsLarge, PermitsModel, PermitsSmall
 from ambershift.modelcheck.models.policy import PolicyModel
 from ambershift.modelcheck.models.replication import (
     ReplicationFolders,
@@ -27,8 +27,8 @@
 
 # Those that are not checked where none is named: for a machine with time, or parts of others.
 BESIDES = {
-    "permits-large", "replication-small", "replication-late", "replication-large", "news-small",
-    "attempt-one-table", "row-large", "news-large", "attempt-apart", "attempt-large",
+    "permits-small", "permits-large", "replication-small", "replication-late", "replication-large",
+    "news-small", "attempt-one-table", "row-large", "news-large", "attempt-apart", "attempt-large",
 }
 
 
@@ -48,6 +48,7 @@
         ReplicationSmall(),
         ReplicationLate(),
         ReplicationLarge(),
+        PermitsSmall(),
         PermitsLarge(),
         RowLarge(),
         NewsLarge(),
