--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -429,7 +429,7 @@
     alone.due(0, WALL)
     assert alone.status is Status.BLANK
     one = Replica("n1", ["n1", "n2", "n3"], [], Counting(), 1, 9, None, True, noop=b"noop", lost=True)
-    ask = messages.Ask(incarnation=2, view=0, round=1, voters=("n1", "n2", "n3"))
+    ask = messages.Ask(incarnation=2, view=0, round=1, voters=("n1", "n2", "n3"), lives=())
     for part in ({"lost": True}, {"lost": False, "log": Log(3), "committed": 3, "sure": 3}):
         # The second recovered a part, then lost its source.
         for name, value in part.items():
