--- a/ambershift/replication/birth.py
+++ b/ambershift/replication/birth.py
@@ -17,7 +17,21 @@
     return [name for name in core.fixed.voters if name != core.fixed.me]
 
 
+def look_back(core: Core, now: int) -> None:
+    """One that was born with nobody left who knows of it holds nothing and has vouched for nothing: it is as
+    good as blank, and would else keep the others from being born."""
+    void = core.status is Status.NORMAL and core.fixed.votes and not core.view and not core.log.top
+    if void and now >= core.leader_heard + core.fixed.timing.unborn:
+        core.note("group-unborn")
+        core.status, core.birth, core.doubt, core.suspecting, core.led_by = Status.BLANK, (), False, False, 0
+        core.have, core.rounds = {}, {}
+        core.readers = []
+        core.fetching = None
+        core.round, core.ask_at = core.round + 1, now
+
+
 def ask(core: Core, now: int) -> None:
+    look_back(core, now)
     if core.status is not Status.BLANK or not core.fixed.votes or now < core.ask_at:
         return
     core.ask_at = now + core.fixed.timing.ask
@@ -28,13 +42,15 @@
         return
     core.round = core.round or 1
     for name in others(core):
-        core.send(name, Ask(incarnation=core.incarnation, view=0, round=core.round, voters=core.fixed.voters))
+        core.send(name, Ask(incarnation=core.incarnation, view=0, round=core.round, voters=core.fixed.voters,
+                            lives=all_lives(core)))
 
 
 def on_ask(core: Core, now: int, sender: str, message: Ask) -> None:
     if message.voters != core.fixed.voters:
         strange(core, sender, "voters")
         return
+    learn_lives(core, message.lives)
     if core.status is Status.BLANK and core.fixed.votes:
         if core.log.top:  # A part of a group, recovered from one that is gone: not blank for another's birth.
             return
@@ -42,9 +58,9 @@
                                 round=message.round))
     elif core.fixed.votes:
         core.vouch(sender, Told(incarnation=core.incarnation, view=core.view, asked=message.incarnation,
-                                round=message.round, normal=core.status is Status.NORMAL, group=core.told_group,
-                                number=core.log.top, lives=all_lives(core), birth=birth_of(core),
-                                rows=all_rows(core)))
+                                round=message.round, normal=core.status is Status.NORMAL,
+                                group=core.told_group, number=core.log.top, lives=all_lives(core),
+                                birth=birth_of(core), rows=all_rows(core)))
 
 
 def birth_of(core: Core) -> Lives:
@@ -109,7 +125,8 @@
     if core.status is not Status.BLANK:  # Halted by what it learnt.
         return
     if (core.fixed.me, core.incarnation) in message.birth:
-        # It was blank at that moment and has been since: as good as one that was born then, and is slow.
+        # It was blank at that moment and has been since: as good as one that was born then, and is slow. No
+        # ended life can tell it of a birth before the last: whoever answered that one's Ask knows who lives.
         be_born(core, now, message.birth)
         return
     core.blank_before, core.blank_now = {}, {}
