--- a/ambershift/admin/adopt.py
+++ b/ambershift/admin/adopt.py
@@ -34,19 +34,20 @@
     def relend(self, world: World, now: int) -> World:
         raise NotImplementedError
 
-    def adopt(self, now: int, wishes: Mapping[int, Standing], who: str, text: str) -> tuple[int, ...]:
-        """Take over wishes that stand; those for servers that are not listed yet wait until they are."""
+    def adopt(self, now: int, wishes: Mapping[int, Standing], said: Sequence[tuple[str, str]]
+              ) -> tuple[int, ...]:
+        """Take over wishes that stand. Of servers that are not listed yet `ahead` must tell when they come.
+        `said` has who said what, command by command."""
         world, changed = self.world, list[int]()
         for server, wish in wishes.items():
-            if server not in world.listed:
-                self.ahead[server] = wish
-            elif (old := world.own(server)) != wish:
+            if server in world.listed and (old := world.own(server)) != wish:
                 world = world.with_wish(server, wish)
                 if old._replace(origin=wish.origin) != wish:
                     changed.append(server)
         if changed:
-            self.commands += 1
-            self.ledger.note(now, "command", who, text)
+            self.commands += len(said)
+            for who, text in said:
+                self.ledger.note(now, "command", who, text)
         self.take_up(now, changed)
         if not self.mirror.picture.seats:
             # A member that catches up: no proxy costs a line yet, and the first to come must find all told.
@@ -57,7 +58,7 @@
     def permit(self, now: int, until: Mapping[int, int]) -> None:
         """Keep these out as under maintenance, each until its end by this desk's clock, and no others."""
         self.permits = dict(until)
-        world = self.world.with_permits(self.permits, now)
+        world = self.world.with_permits(self.permits)
         self.take_up(now, [server for server in {*world.permitted, *self.world.permitted}
                            if world.wish(server) != self.world.wish(server)])
         self.set_world(self.relend(world, now))
--- a/ambershift/interference/engine.py
+++ b/ambershift/interference/engine.py
@@ -15,14 +15,14 @@
 from ambershift.interference.held import Held
 from ambershift.interference.node import SLOT_NS, Node
 from ambershift.interference.normal import liars
-from ambershift.interference.pooled import lost, pairs, scores
+from ambershift.interference.pooled import NODES_LEAST, lost, pairs, scores
 from ambershift.interference.records import Baseline, Evidence, Put, UnreadableError
 from ambershift.interference.sift import judge
 from ambershift.interference.words import Sample, Score, Unusable
 from ambershift.replication.heard import Kind, Record
 
 BEAT_NS = 1_000_000_000
-SLICE = 16  # Nodes that are looked at in one call of `due`, so that no call takes long.
+SLICE = 4  # Nodes that are looked at in one call of `due`: some 10 ms each.
 OLD = 180  # Slots. Evidence that is older, by the middle of the members' newest, no longer counts.
 SCORE_AFTER = 3  # Scores are worked out so often at most.
 LATELY = 66  # Nor does what a server suffers.
@@ -66,6 +66,7 @@
         self._scored_at = 0
         self._scores = list[Score]()
         self._liars = frozenset[str]()
+        self._accused = frozenset[tuple[str, str]]()
         self._current = dict[str, Evidence]()  # By job, the newest of nodes that don't lie.
 
     def samples(self, now: int, given: Iterable[Sample]) -> int:
@@ -112,7 +113,7 @@
         made = list[Put]()
         ripe = [node for node in self._nodes.values() if node.ripe(now)]
         for node in ripe[:SLICE]:
-            block = node.look(now, self._held.normal)
+            block = node.look(now, self._held.normal, self._accused)
             self.unusable[Unusable.ALL_SLOW.value] += block.all_slow
             made += self._give(node, block.evidence)
         if not ripe:
@@ -174,6 +175,7 @@
             if now - one.at <= OLD * self.slot_ns and (place not in newest or one.at > newest[place].at):
                 newest[place] = one
         self._scores = scores(pairs(newest.values(), found))
+        self._accused = frozenset((one.victim, one.suspect) for one in self._scores if one.accused)
         self._current = {}
         for _, one in sorted(newest.items(), key=lambda item: item[0]):
             before = self._current.get(one.job)
@@ -211,7 +213,8 @@
     def rows(self) -> list[Row]:
         """The accused first, then by victim and suspect; victims with nobody to blame at the end."""
         suffering = Counter(one.group for one in self._current.values() if one.suffers)
-        made = [Row(*score_fields(one), suffering[one.victim], one.accused, "") for one in self._scores]
+        made = [Row(*score_fields(one), suffering[one.victim], one.accused,
+                    "" if one.nodes >= NODES_LEAST else Unusable.TOO_LITTLE.value) for one in self._scores]
         made.sort(key=lambda row: (not row.accused, row.victim, row.suspect))
         scored = {row.victim for row in made}
         reasons = {(one.group, one.reason) for one in self._current.values() if one.reason}
--- a/ambershift/standins/histories.py
+++ b/ambershift/standins/histories.py
@@ -16,6 +16,7 @@
 PAUSE = 0.02
 # By these names alone a member may not know; by all others nothing was written.
 UNKNOWN = ("(outcome-unknown)",)
+NOT_SENT = ("can't connect", "did not come up", "before the first answer")
 
 
 def judge(reply: Reply) -> Outcome:
@@ -46,7 +47,10 @@
             outcome = judge(reply)
             if reply.failed:
                 self.reasons[reply.text.partition(":")[0]] += 1
-        except ClientError:
+        except ClientError as error:
+            if any(words in str(error) for words in NOT_SENT):
+                self.reasons["not sent"] += 1
+                return Outcome.REFUSED
             outcome = Outcome.UNKNOWN
             self.reasons["no answer"] += 1
         returned = None if outcome is Outcome.UNKNOWN else time.monotonic_ns()
@@ -71,6 +75,10 @@
                 who, server, Kind.READ, value, called, returned, Outcome.DONE))
         return True
 
+    async def read_at_last(self, member: str, limit: float = 60.0) -> None:
+        """Once all is mended a read must come to an answer, however busy the machine is meanwhile."""
+        await self.rig.eventually(lambda: self.read("last", member, 5.0), limit, f"a read at {member}")
+
     async def operator(self, name: str, chance: random.Random, going: Callable[[], bool],
                        members: Callable[[], list[str]], limit: float = 5.0) -> None:
         """Writes and reads at whichever member, and asks again with the same token where it does not know."""
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Iterator
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -67,7 +68,7 @@
         outcome = read_answer(answer)
         if outcome.done and outcome.changed:
             if isinstance(command, Wishes):
-                self.at_desk.wishes(self.held, outcome.changed, command.who, command.text)
+                self.at_desk.wishes(self.held, outcome.changed, [(command.who, command.text)])
             else:
                 self.at_desk.permits(self.held)
         return outcome
@@ -180,11 +181,18 @@
     assert leader.desk.world.own(0).state is READY and committed is EMPTY
     answer = leader.machine.judge(log, leader.now, encode(second))
     assert answer is not None and Reason.ZONE_WITHOUT_WARM.value.encode() in answer
+    # What the log takes back, committed or not, is there again.
+    leader.apply(first)
+    back = leader.machine.apply(leader.held, Entry(1, 9, 1, "", encode(leader.wish(*out(0, state=READY)))))[0]
+    assert leader.judge(second) is not None
+    assert leader.machine.judge(back, leader.now, encode(second)) is None
+    leader.at_desk.all(EMPTY)
     # The same by a permit in the log: it counts until it is closed, whatever this clock says.
     leader.held = EMPTY
     leader.apply(declare(0, 2))
     leader.apply(Grant(leader.held.permits_touched, (permit(leader, 0, leader.now + S),)))
-    leader.now += 60 * S
+    leader.settle()
+    assert not leader.shut and not leader.desk.world.permitted  # Its own clock has let s0 in again.
     assert leader.judge(second) is not None
     grant = leader.judge(Grant(leader.held.permits_touched, (permit(leader, 2, leader.now + S),)))
     assert grant is not None and b"zone-without-warm" in grant
@@ -511,3 +519,35 @@
             rows = await rig.rows("n2", "show standing json")
             assert [row["server"] for row in rows] == ["east/s-0"]
     asyncio.run(play())
+
+
+def test_a_disk_that_hangs_at_the_start_holds_up_no_steering(place: Path) -> None:
+    """The folder's lock is a FIFO that nobody writes to: opening it never ends."""
+    import os
+
+    async def play() -> None:
+        folder = place / "n1" / "folder"
+        folder.mkdir(parents=True)
+        os.mkfifo(folder / "log")
+        async with Rig(place, 1) as rig:
+            member = rig.members["n1"]
+            await until(lambda: member.logged("group_slow_start"), 30)
+            await until(lambda: rig.fleet.proxies and all(one.steered for one in rig.fleet.proxies), 30)
+            assert (await rig.say("n1", "disable server east/s-0")).text.startswith("Refused (no-majority)")
+            assert await member.terminate() == 0
+    asyncio.run(play())
+
+
+def test_without_a_group_its_commands_are_unknown_and_unlisted() -> None:
+    from ambershift.runtime.execute import Executor
+    from ambershift.runtime.grammar import Command as Said_
+    from ambershift.runtime.session import Level, Session
+    for common, known in ((None, False), (object(), True)):
+        executor = Executor(SimpleNamespace(common=common))  # type: ignore[arg-type]
+        session = Session("x", Level.ADMIN)
+        listed = "\n".join(executor.run(session, Said_(("help",), "help")).lines)  # type: ignore[union-attr]
+        assert [f"show {one} " in listed for one in ("group", "maintenance", "interference")] == [known] * 3
+        if not known:
+            told = executor.run(session, Said_(("show", "group"), "show group"))
+            text = "\n".join(told.lines)  # type: ignore[union-attr]
+            assert text.startswith("Unknown command: 'show group'") and "show interference" not in text
