--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -96,7 +96,7 @@
         await asyncio.sleep(0)
         member.refused("b", refusal)
         assert member.halted and member.halted[0] == "superseded"
-        assert (await waiting).reason is Reason.OUTCOME_UNKNOWN
+        assert (await asyncio.wait_for(waiting, 5)).reason is Reason.OUTCOME_UNKNOWN
         assert (await member.submit("", desk.wish(*out(2)), S)).reason is Reason.NO_MAJORITY
         assert [fields["reason"] for event, fields in log if event == "group_halted"] == ["superseded"]
         rows = {row["name"]: row for row in member_rows(member)}
