--- a/ambershift/replication/heard/words.py
+++ b/ambershift/replication/heard/words.py
@@ -24,10 +24,10 @@
     EASED = 4
     LEVEL = 5
     SHARE = 6
-    BASELINE = 7  # key: kind of machine and job; body: a sketch of interference.
+    BASELINE = 7  # key: kind of machine, group of jobs and node; body: a sketch of interference.
     DRAINED = 8  # key: permit id; body: whether it is drained for this member's proxies.
     STEERS = 9  # key: ""; body: how many proxies this member steers now, and its wall clock.
-    MET = 10  # key: node, victim and suspect; body: evidence of interference.
+    MET = 10  # key: node and job; body: evidence of interference on each of its neighbours.
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
