--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -248,6 +248,15 @@
     assert [(one.proxy, one.server) for one in fleet.shuts if not one.out] == [(0, "s-0")]
     fleet.apply("n2", ["put,1,s-1,0", "eject,s-0", "wipe,2"], [0, 1, 2, 3])
     assert fleet.unused("s-0") and not fleet.proxies[0].uses("s-1") and fleet.proxies[1].uses("s-1")
+    # A table without what was shut out keeps it away; a line for it lets it in.
+    fleet.died("n1")
+    fleet.apply("n2", ["put,3,s-2,1", "uneject,s-0", "eject,s-0", "attach,1,3,*"], [1, 2, 3])
+    fleet.withdrawn["n2"].discard("s-0")
+    fleet.apply("n2", ["attach,1,3,*"], [1])
+    assert "s-0" in fleet.proxies[1].shut
+    fleet.apply("n2", ["put,3,s-0,1"], [1])
+    assert fleet.proxies[1].uses("s-0")
+    fleet.apply("n2", ["eject,s-0"], [0, 1, 2, 3])
     clock[0] = 5.0
     for _ in range(5):
         fleet.tick(1.0)
