--- a/ambershift/modelcheck/mutants/replication.py
+++ b/ambershift/modelcheck/mutants/replication.py
@@ -119,6 +119,11 @@
     return property(lambda self: self.log.top)
 
 
+def older_life_counts(real: Any) -> Any:
+    """What a life before had vouched for binds nobody."""
+    return lambda *words: None
+
+
 def commits_what_it_has(real: Any) -> Any:
     """A follower applies up to the leader's mark whatever its own log holds there."""
     def commit_to(core: Core, number: int) -> Any:
