--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,10 @@
 	$(PYTHON) -m benchmarks.runtime_socket
 	$(PYTHON) -m benchmarks.model_checking
 	$(PYTHON) -m benchmarks.fleet_beat
+	$(PYTHON) -m benchmarks.replication
+	$(PYTHON) -m benchmarks.group
+	$(PYTHON) -m benchmarks.group_disk
+	$(PYTHON) -m benchmarks.heard_state
+	$(PYTHON) -m benchmarks.takeover
+	$(PYTHON) -m benchmarks.maintenance
+	$(PYTHON) -m benchmarks.interference
