--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -354,14 +354,15 @@
         for job in range(world.jobs):
             if (part := engine.interfered(world.name[job])) > 0:
                 assert world.group[job] == "games" and part < 0.75
+                assert engine._current[world.name[job]].suffers
                 suffered.add(world.name[job])
         for server, keep in engine.eases(now).items():
             assert 0.9 <= keep < 1.0 and server in suffered
             eased.add(server)
+            assert engine.eases(now + 3 * 3_600 * SECOND) == {}  # Old word eases nothing.
         free |= bool(eased) and not all(server in engine.eases(now) for server in eased)
         assert plain.eases(now) == {}
     assert suffered and eased and free
-    assert engine.eases(now + 3 * 3_600 * SECOND) == {}  # Old word eases nothing.
 
 
 def test_alone_and_all_slow_are_named() -> None:
