Set no folder aside that has caught up with all it ever vouched for

A member with an older folder had followed the leader and applied all that it once vouched for; then it heard its own old row, halted as old-folder and came back blank, while another of the three had lost its memory: nobody was left to recover from. Nothing was lost or told wrongly.

At fault: judge_myself in replication/knowing.py went by what the folder held at the start. It now looks at what the log holds in the leader's view.

--- a/ambershift/replication/knowing.py
+++ b/ambershift/replication/knowing.py
@@ -45,6 +45,11 @@
     if not core.fixed.votes:
         return
     if row.incarnation < core.incarnation:
+        # One that has all of it again by now, from the leader, would be set aside for nothing: and another
+        # voter may have lost its memory meanwhile, so that nobody were left to recover from.
+        has = core.log.view_at(core.sure), core.sure
+        if core.status is Status.NORMAL and core.view >= row.view and has >= (row.last, row.number):
+            core.behind = None
         if core.behind and (row.view > core.behind[0] or (row.last, row.number) > core.behind[1:]):
             core.halt(Reason.OLD_FOLDER, f"vouched for {row.number} of view {row.view}, the folder has "
                                          f"{core.behind[2]} of view {core.behind[0]}")
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -12,7 +12,7 @@
 
 from ambershift.replication import birth, knowing, messages
 from ambershift.replication.log import Log
-from ambershift.replication.messages import Chunk, Have, Told, UnreadableError, decode, encode
+from ambershift.replication.messages import Chunk, Have, Told, UnreadableError, Vouch, decode, encode
 from ambershift.replication.replica import Replica
 from ambershift.replication.timing import MS, PLAIN
 from ambershift.replication.words import (
@@ -254,6 +254,21 @@
     assert host.halts == [Reason.OTHER_MEMBERS] and sim.notes["group-born"] == 0
 
 
+@pytest.mark.parametrize("caught_up", [False, True])
+def test_an_old_folder_that_has_caught_up_is_as_good_as_a_new_one(caught_up: bool) -> None:
+    """Set aside then, it would be blank beside another voter that lost its memory meanwhile."""
+    old = Saved("g", 8, 0, 0, 2, None, tuple(Entry(0, number, 0, "", b"") for number in (1, 2)))
+    one = Replica("n3", ["n1", "n2", "n3"], [], Counting(), 1, 9, old, True, noop=b"noop")
+    row = Vouch("n3", 8, 0, 0, 4, 4, "normal")
+    if caught_up:
+        more = tuple(Entry(0, number, 0, "", b"") for number in (3, 4))
+        one.hear(0, "n1", messages.Prepare(incarnation=5, view=0, group="g", after=2, after_view=0,
+                                           committed=4, entries=more))
+    one.hear(0, "n1", messages.Beat(incarnation=5, view=0, group="g", round=0, top=4, committed=4,
+                                    rows=(row,), voters=("n1", "n2", "n3")))
+    assert one.status is (Status.NORMAL if caught_up else Status.HALTED)
+
+
 def test_members_of_two_groups_that_meet_refuse_each_other() -> None:
     sim = group()
     name = follower(sim)
