--- a/ambershift/replication/birth.py
+++ b/ambershift/replication/birth.py
@@ -124,7 +124,7 @@
     learn_rows(core, message.rows)
     if core.status is not Status.BLANK:  # Halted by what it learnt.
         return
-    if (core.fixed.me, core.incarnation) in message.birth:
+    if (core.fixed.me, core.incarnation) in message.birth and not core.log.top:
         # It was blank at that moment and has been since: as good as one that was born then, and is slow. No
         # ended life can tell it of a birth before the last: whoever answered that one's Ask knows who lives.
         be_born(core, now, message.birth)
