End the coordinators that a test had started anew, not those already ended

Seen: after each run of the tests three coordinators went on running, left by the test that restarts them one at a time. At fault: the stage ended the process that it had started first, while the test had put another in its place. It ends the one in place now: none is left after that test.

--- a/tests/stage.py
+++ b/tests/stage.py
@@ -115,11 +115,11 @@
         await until(lambda: relay.followed)
         yield stage
         assert not stage.logged("failure")
-        assert process.returncode in (None, 0)
+        assert stage.process.returncode in (None, 0)
     finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
+        if stage.process.returncode is None:  # It may have been started anew meanwhile.
+            stage.process.kill()
+        await stage.process.wait()
         os.close(unread)
         for one in (*tasks, *servers):
             (one.cancel if isinstance(one, asyncio.Task) else one.close)()
