--- a/review/standins.py
+++ b/review/standins.py
@@ -86,7 +86,7 @@
         port = random.randrange(11_000, 30_000)
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as trial:
             try:
-                trial.bind(("0.0.0.0", port))
+                trial.bind(("127.0.0.1", port))
             except OSError:
                 continue
         if port not in found:
