--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,9 +14,11 @@
 
 from standins_2 import (  # noqa: E402
     BOUNDS,
+    ZONES,
     Backend,
     CouldNotRunError,
     Deployment,
+    Machine,
     Message,
     Record,
     read_message,
@@ -27,9 +29,12 @@
 
 DEADLINE_S = 3.0  # Of the requests settlement-pull, by the page of the site.
 WORK_S = 2.75  # Within the deadline, and within the site's work of 300 ms, its tail and the slow backends.
-FROM_S, TO_S, EACH_S = 2.95, 3.13, 0.008  # When requests are sent, after SIGTERM.
+FROM_S, TO_S, EACH_S = 2.97, 3.13, 0.01  # When requests are sent, after SIGTERM.
 # No answer, or one of our own although the backend is at work.
 BROKEN_OFF = ("closed", "500", "502", "503", "504")
+PROXIES = (*ZONES, *list(ZONES)[:3])  # Nine, as the site has them.
+# So many are stopped, one after the other, each so long after the last: as in the site's roll_term.
+STOPPED, GAP_S = 4, 1.3
 EXCUSED_S = 3.0  # A request sent later than this after SIGTERM isn't excused.
 SURE_S = 0.01  # A request counts as sent later than 3 s only by so much.
 
@@ -47,7 +52,7 @@
         self.at = self.ended = 0.0
         self.end = "not sent"
 
-    async def send(self, address: str, target: str, record: Record) -> None:
+    async def send(self, address: str, target: str) -> None:
         host, _, port = address.rpartition(":")
         try:
             reader, writer = await asyncio.open_connection(host, int(port))
@@ -71,7 +76,7 @@
         writer.close()
 
 
-async def send_around_the_limit(address: str, stopped: float, record: Record) -> list[Sent]:
+async def send_around_the_limit(address: str, stopped: float) -> list[Sent]:
     """Slow requests from `FROM_S` to `TO_S` after `stopped`, and the ends of all of them."""
     sent: list[Sent] = []
     tasks = []
@@ -79,7 +84,7 @@
         if now >= FROM_S:
             one = Sent(len(sent) + 1)
             sent.append(one)
-            tasks.append(asyncio.ensure_future(one.send(address, f"/p/slow/{len(sent)}", record)))
+            tasks.append(asyncio.ensure_future(one.send(address, f"/p/slow/{len(sent)}")))
         await asyncio.sleep(EACH_S)
     await asyncio.gather(*tasks)
     return [one for one in sent if one.at]
@@ -108,31 +113,44 @@
     return bool(lost)
 
 
+# When a proxy was stopped, and what was sent to it around the limit.
+Stopped = tuple[float, list[Sent]]
+
+
+async def stop_one(deployment: Deployment, proxy: Machine, record: Record, trouble: bool) -> Stopped:
+    """SIGTERM to a proxy, and the requests around the limit."""
+    stopped = time.monotonic()
+    if trouble:
+        deployment.signal(proxy, signal.SIGTERM)
+        record.show(f"SIGTERM to {proxy.name}")
+    return stopped, await send_around_the_limit(deployment.front(proxy), stopped)
+
+
 async def play(record: Record, trouble: bool) -> int:
-    async with Deployment(record, ["riga-skanste", "riga-plavnieki"]) as deployment:
-        zones = ("riga-skanste", "riga-plavnieki", "liepaja-osta")
-        backends = [Backend(deployment, "svc", zone, slow_work, slots=100) for zone in zones]
+    async with Deployment(record, PROXIES) as deployment:
+        backends = [Backend(deployment, "svc", zone, slow_work, slots=100) for zone in ZONES]
         await deployment.configure([route("r-a", "a.example", "/p/", "idempotent", "svc", 3000)], ["svc"])
         await start_all(backends)
         await deployment.all_ready()
-        proxy = deployment.proxies[0]
         await asyncio.sleep(BOUNDS["ContactMs"] / 1000)
-        address = deployment.front(proxy)
-        first = Sent(0)
-        await first.send(address, "/p/quick", record)
-        if first.end != "200":
-            raise CouldNotRunError(f"a quick request got {first.end}")
-        stopped = time.monotonic()
-        if trouble:
-            deployment.signal(proxy, signal.SIGTERM)
-            record.show(f"SIGTERM to {proxy.name}")
-        sent = await send_around_the_limit(address, stopped, record)
+        stops = []
+        for proxy in deployment.proxies[:STOPPED]:
+            first = Sent(0)
+            await first.send(deployment.front(proxy), "/p/quick")
+            if first.end != "200":
+                raise CouldNotRunError(f"a quick request got {first.end}")
+            stops.append(asyncio.ensure_future(stop_one(deployment, proxy, record, trouble)))
+            await asyncio.sleep(GAP_S)
+        found = await asyncio.gather(*stops)
         for backend in backends:
             backend.stop()
         ran = {asked.headers["x-attempt-id"] for one in backends for _, asked in one.runs}
-        is_lost = judge(sent, ran, stopped, record)
-        if not trouble and not all(one.end == "200" for one in sent):
-            raise CouldNotRunError("not every request was answered, though nothing was stopped")
+        is_lost = False
+        for proxy, (stopped, sent) in zip(deployment.proxies, found, strict=False):
+            record.show(f"{proxy.name}:")
+            is_lost |= judge(sent, ran, stopped, record)
+            if not trouble and not all(one.end == "200" for one in sent):
+                raise CouldNotRunError("not every request was answered, though nothing was stopped")
         return 1 if is_lost else 0
 
 
