--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,10 +1,9 @@
-"""LOST: a proxy takes requests longer after SIGTERM than it can answer them, and breaks them off."""
+"""EVAC: a take-back that a cut held up is carried out after a later evacuation was acknowledged."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import signal
 import sys
 import time
 from pathlib import Path
@@ -14,12 +13,11 @@
 
 from standins_2 import (  # noqa: E402
     BOUNDS,
-    ZONES,
+    SILENCE_S,
     Backend,
     CouldNotRunError,
     Deployment,
     Machine,
-    Message,
     Record,
     read_message,
     route,
@@ -27,132 +25,173 @@
     start_all,
 )
 
-DEADLINE_S = 3.0  # Of the requests settlement-pull, by the page of the site.
-WORK_S = 2.75  # Within the deadline, and within the site's work of 300 ms, its tail and the slow backends.
-FROM_S, TO_S, EACH_S = 2.97, 3.13, 0.01  # When requests are sent, after SIGTERM.
-# No answer, or one of our own although the backend is at work.
-BROKEN_OFF = ("closed", "500", "502", "503", "504")
-PROXIES = (*ZONES, *list(ZONES)[:3])  # Nine, as the site has them.
-# So many are stopped, one after the other, each so long after the last: as in the site's roll_term.
-STOPPED, GAP_S = 4, 1.3
-EXCUSED_S = 3.0  # A request sent later than this after SIGTERM isn't excused.
-SURE_S = 0.01  # A request counts as sent later than 3 s only by so much.
-
+ZONE = "riga-skanste"  # It is evacuated.
+FAR_ZONE = "daugavpils-a"  # The operator is in riga, and one of its coordinators in another region.
+CUT_S = 5.0  # The site's node_cut and core_cut last 5.5 s.
+ONE_WAY_S = 0.035  # Between regions, by the page of the site.
+WATCHED_S = 12.0
+RATE = 40  # Requests a second.
+
+
+class Network:
+    """The network between the operator and one coordinator: a delay, and a cut that holds bytes up.
+
+    When the cut is over, TCP sends again what wasn't acknowledged: first the data, and once they are
+    acknowledged, a round trip later, the end of the connection.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.connected = asyncio.Event()
+        self.connected.set()
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self, ip: str) -> str:
+        self.server = await asyncio.start_server(self.accept, ip, 0)
+        return f"{ip}:{self.server.sockets[0].getsockname()[1]}"
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self.target.rpartition(":")
+        there, back = await asyncio.open_connection(host, int(port))
+        self.tasks |= {
+            asyncio.ensure_future(self.carry(reader, back)),
+            asyncio.ensure_future(self.carry(there, writer)),
+        }
+
+    async def carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        resent = False  # Whether the data before were held up by the cut.
+        try:
+            while True:
+                data = await reader.read(65536)
+                was_held_up = not self.connected.is_set()
+                await self.connected.wait()
+                if not data and resent:
+                    await asyncio.sleep(2 * ONE_WAY_S)
+                await asyncio.sleep(ONE_WAY_S)
+                if not data:
+                    break
+                resent = was_held_up
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
 
-async def slow_work(backend: Backend, asked: Message) -> tuple[int, dict[str, str], bytes]:
-    await asyncio.sleep(WORK_S if "/slow/" in asked.first else 0.05)
-    return 200, {}, b"done by " + backend.id.encode()
 
+class KeptConnection:
+    """A connection that the operator keeps to one coordinator."""
 
-class Sent:
-    """One request: when it was sent, and how it ended."""
+    def __init__(self, address: str) -> None:
+        self.address = address
 
-    def __init__(self, number: int) -> None:
-        self.attempt = f"{random.getrandbits(48):012x}{number:04x}"
-        self.at = self.ended = 0.0
-        self.end = "not sent"
+    async def open(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self.reader, self.writer = await asyncio.open_connection(host, int(port))
 
-    async def send(self, address: str, target: str) -> None:
-        host, _, port = address.rpartition(":")
-        try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            self.end = "no connection"
-            return
-        self.at = time.monotonic()
-        writer.write(
-            f"GET {target} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {self.attempt}\r\n"
-            f"X-Deadline-Remaining: {round(DEADLINE_S * 1000)}\r\n\r\n".encode()
+    async def order(self, target: str) -> int | None:
+        """Its status; after a second of silence the connection is closed in good order."""
+        self.writer.write(
+            f"POST {target} HTTP/1.1\r\nHost: {self.address}\r\nContent-Length: 0\r\n\r\n".encode()
         )
         try:
-            async with asyncio.timeout(DEADLINE_S):
-                answer = await read_message(reader, True)
-                self.end = "closed" if answer is None else str(answer.status)
-        except TimeoutError:
-            self.end = "deadline"
-        except (OSError, asyncio.IncompleteReadError):
-            self.end = "closed"
-        self.ended = time.monotonic()
-        writer.close()
-
-
-async def send_around_the_limit(address: str, stopped: float) -> list[Sent]:
-    """Slow requests from `FROM_S` to `TO_S` after `stopped`, and the ends of all of them."""
-    sent: list[Sent] = []
-    tasks = []
-    while (now := time.monotonic() - stopped) < TO_S:
-        if now >= FROM_S:
-            one = Sent(len(sent) + 1)
-            sent.append(one)
-            tasks.append(asyncio.ensure_future(one.send(address, f"/p/slow/{len(sent)}")))
-        await asyncio.sleep(EACH_S)
-    await asyncio.gather(*tasks)
-    return [one for one in sent if one.at]
-
-
-def judge(sent: list[Sent], ran: set[str], stopped: float, record: Record) -> bool:
-    """Whether a request that was sent too late to be excused was broken off."""
-    lost = []
-    for one in sent:
-        since, took, passed_on = one.at - stopped, one.ended - one.at, one.attempt in ran
-        record(
-            f"client: {one.attempt} sent {since:.3f} s after SIGTERM, "
-            f"{'' if passed_on else 'not '}passed on, {one.end} after {took:.3f} s"
-        )
-        if since > EXCUSED_S + SURE_S and passed_on and one.end in BROKEN_OFF:
-            lost.append((since, took))
-    record.show(
-        f"{len(sent)} requests, {sum(one.end == '200' for one in sent)} answered, "
-        f"{sum(one.end in BROKEN_OFF and one.attempt in ran for one in sent)} broken off while at work"
-    )
-    if lost:
-        record.show(
-            f"LOST broken: {len(lost)} of them were sent later than {EXCUSED_S:g} s after SIGTERM, the last "
-            f"one {max(lost)[0]:.3f} s after; it was broken off after {max(lost)[1]:.3f} of {DEADLINE_S:g} s"
-        )
-    return bool(lost)
+            async with asyncio.timeout(SILENCE_S):
+                answer = await read_message(self.reader, True)
+                return answer.status if answer else None
+        except (TimeoutError, OSError, asyncio.IncompleteReadError):
+            self.writer.close()
+            return None
 
 
-# When a proxy was stopped, and what was sent to it around the limit.
-Stopped = tuple[float, list[Sent]]
+async def send_requests(deployment: Deployment, record: Record, seconds: float) -> None:
+    """Requests to the proxies by turns, each on a connection of its own."""
+    end, number, under_way = time.monotonic() + seconds, 0, set()
 
+    async def one(machine: Machine) -> None:
+        attempt = f"{random.getrandbits(64):016x}"
+        host, _, port = deployment.front(machine).rpartition(":")
+        try:
+            async with asyncio.timeout(2):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(
+                    f"GET /p/{number:x} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt}\r\n"
+                    "X-Deadline-Remaining: 1500\r\nConnection: close\r\n\r\n".encode()
+                )
+                answer = await read_message(reader, True)
+                writer.close()
+                record(f"client: {attempt} by {machine.name} -> {answer.status if answer else 'closed'}")
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            record(f"client: {attempt} by {machine.name} -> {error!r}")
 
-async def stop_one(deployment: Deployment, proxy: Machine, record: Record, trouble: bool) -> Stopped:
-    """SIGTERM to a proxy, and the requests around the limit."""
-    stopped = time.monotonic()
-    if trouble:
-        deployment.signal(proxy, signal.SIGTERM)
-        record.show(f"SIGTERM to {proxy.name}")
-    return stopped, await send_around_the_limit(deployment.front(proxy), stopped)
+    while time.monotonic() < end:
+        number += 1
+        task = asyncio.ensure_future(one(deployment.proxies[number % len(deployment.proxies)]))
+        under_way.add(task)
+        task.add_done_callback(under_way.discard)
+        await asyncio.sleep(1 / RATE)
+    await asyncio.gather(*under_way)
 
 
 async def play(record: Record, trouble: bool) -> int:
-    async with Deployment(record, PROXIES) as deployment:
-        backends = [Backend(deployment, "svc", zone, slow_work, slots=100) for zone in ZONES]
-        await deployment.configure([route("r-a", "a.example", "/p/", "idempotent", "svc", 3000)], ["svc"])
+    evacuate = f"/ambershift/rpc?call=evacuation.initiate&of={ZONE}"
+    take_back = f"/ambershift/rpc?call=evacuation.terminate&of={ZONE}"
+    async with Deployment(record, [ZONE, "liepaja-osta", "daugavpils-a"]) as deployment:
+        backends = [Backend(deployment, "svc", zone) for zone in (ZONE, ZONE, "liepaja-osta", "daugavpils-a")]
+        await deployment.configure([route("r-a", "a.example", "/p/", "idempotent", "svc")], ["svc"])
         await start_all(backends)
         await deployment.all_ready()
-        await asyncio.sleep(BOUNDS["ContactMs"] / 1000)
-        stops = []
-        for proxy in deployment.proxies[:STOPPED]:
-            first = Sent(0)
-            await first.send(deployment.front(proxy), "/p/quick")
-            if first.end != "200":
-                raise CouldNotRunError(f"a quick request got {first.end}")
-            stops.append(asyncio.ensure_future(stop_one(deployment, proxy, record, trouble)))
-            await asyncio.sleep(GAP_S)
-        found = await asyncio.gather(*stops)
-        for backend in backends:
-            backend.stop()
-        ran = {asked.headers["x-attempt-id"] for one in backends for _, asked in one.runs}
-        is_lost = False
-        for proxy, (stopped, sent) in zip(deployment.proxies, found, strict=False):
-            record.show(f"{proxy.name}:")
-            is_lost |= judge(sent, ran, stopped, record)
-            if not trouble and not all(one.end == "200" for one in sent):
-                raise CouldNotRunError("not every request was answered, though nothing was stopped")
-        return 1 if is_lost else 0
+        far = next(one for one in deployment.controls if one.zone == FAR_ZONE)
+        near = next(one for one in deployment.controls if one.zone == "riga-plavnieki")
+        network = Network(deployment.control(far))
+        kept = KeptConnection(await network.listen(deployment.address()))
+        await kept.open()
+        traffic = asyncio.ensure_future(
+            send_requests(deployment, record, BOUNDS["ContactMs"] / 1000 + 2.5 + CUT_S + WATCHED_S)
+        )
+        try:
+            await asyncio.sleep(BOUNDS["ContactMs"] / 1000)
+            status = await kept.order(evacuate)
+            record.show(f"evacuation of {ZONE} by {far.name}, over the kept connection: {status}")
+            if status != 200:
+                raise CouldNotRunError("the first evacuation wasn't acknowledged")
+            await asyncio.sleep(0.5)
+            if trouble:
+                network.connected.clear()
+                record.show(f"the operator is cut off from {far.name}")
+                asyncio.get_running_loop().call_later(CUT_S, network.connected.set)
+            status = await kept.order(take_back)
+            record.show(f"the zone is taken back, by {far.name}: {status or 'a second of silence'}")
+            if status is None:
+                status = await deployment.operate("take-back, sent again", take_back, first=near)
+                record.show(f"sent again to another coordinator: {status}")
+            await asyncio.sleep(1.0)
+            status = await deployment.operate("evacuation again", evacuate, first=near)
+            acknowledged = time.monotonic()
+            record.show(f"evacuation of {ZONE} again, by {near.name}: {status}")
+            if status != 200:
+                raise CouldNotRunError("the second evacuation wasn't acknowledged")
+            await traffic
+        finally:
+            traffic.cancel()
+            for backend in backends:
+                backend.stop()
+        bound = acknowledged + BOUNDS["EvacuationMs"] / 1000
+        late = sorted(when for one in backends if one.zone == ZONE for when, _ in one.runs if when > bound)
+        others = sum(when > bound for one in backends if one.zone != ZONE for when, _ in one.runs)
+        record.show(
+            f"later than EvacuationMs after the acknowledgement: {len(late)} requests ran in {ZONE}, "
+            f"{others} elsewhere"
+        )
+        if not others and not late:
+            raise CouldNotRunError("no requests were served")
+        if late:
+            record.show(
+                f"EVAC broken: the first one {late[0] - acknowledged:.2f} s after the acknowledgement"
+            )
+        return 1 if late else 0
 
 
 if __name__ == "__main__":
+    random.seed()
     run(play, HERE)
