Log the version of an evacuation, and how long ago its call was read

Event 604 didn't tell apart the hypotheses:

1. the take-back that the cut held up is carried out after the cut: a version above the evacuation's; 2. it was written before and merges late: a version at or below the evacuation's; 3. proxies go back to an older item: no further 604 at all.

604 and 605 have `version` and `read_ms_ago` now (Evacuations.execute takes the call with the time at which it was read).

--- a/ambershift/system/control_api/application.py
+++ b/ambershift/system/control_api/application.py
@@ -16,7 +16,7 @@
 from ambershift.system.control_api.context import NodeContext
 from ambershift.system.control_api.coordination_calls import CoordinationCalls, invalid_call_reply
 from ambershift.system.control_api.directory_calls import DirectoryCalls
-from ambershift.system.control_api.evacuations import Evacuations
+from ambershift.system.control_api.evacuations import EvacuationCall, Evacuations
 from ambershift.system.control_api.forwarding import NOT_APPLIED, Forwarding
 from ambershift.system.control_api.group_waiters import GroupWaiters
 from ambershift.system.control_api.pause_detector import PauseDetector
@@ -218,11 +218,12 @@
         return await self._set_evacuated(zone, False, receive)
 
     async def _set_evacuated(self, zone: str, evacuated: bool, receive: asgi.Receive) -> Reply:
+        call = EvacuationCall(zone, evacuated, self._monotonic_ns())
         # A late call would undo what was ordered since, and no version tells that it is late.
         await asgi.ensure_connected(receive)
         if self._pause_detector.is_stale(self._monotonic_ns()):
             return NOT_APPLIED
-        return await self._evacuations.set_evacuated(zone, evacuated)
+        return await self._evacuations.execute(call)
 
     async def _coordination_call(
         self, operation: str, subject_id: str, scope: asgi.Scope, receive: asgi.Receive
--- a/ambershift/system/control_api/evacuations.py
+++ b/ambershift/system/control_api/evacuations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from ambershift.system.control_api import log_events
@@ -12,7 +13,22 @@
 from ambershift.system.interfaces import NotAppliedError, OutcomeUnknownError
 from ambershift.system.messages.items import ZONE, Item
 from ambershift.system.settings.process_settings import ProcessSettings
-from ambershift.system.state_machine import NS_PER_SECOND
+from ambershift.system.state_machine import NS_PER_MS, NS_PER_SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationCall:
+    """A call as it was read.
+
+    Attributes:
+        zone: The zone that it is about.
+        evacuated: Whether the zone gets no more traffic, or gets it again.
+        read_at: When it was read (monotonic clock, ns).
+    """
+
+    zone: str
+    evacuated: bool
+    read_at: int
 
 
 class Evacuations:
@@ -26,9 +42,9 @@
         self._write_lock = asyncio.Lock()
         self._counters: dict[str, int] = {}
 
-    async def set_evacuated(self, zone: str, evacuated: bool) -> Reply:
-        """Send nothing more to a zone's backends, or (`evacuated` False) send there again."""
-        if zone not in self._settings.zones:
+    async def execute(self, call: EvacuationCall) -> Reply:
+        """Send nothing more to a zone's backends, or send there again."""
+        if call.zone not in self._settings.zones:
             return json_reply(HTTPStatus.NOT_FOUND, Cause="no such zone")
         if not self._store.has_quorum_contact():
             return NOT_APPLIED
@@ -36,20 +52,28 @@
         try:
             async with asyncio.timeout(CALL_TIMEOUT_NS / NS_PER_SECOND), self._write_lock:
                 await self._store.read_quorum(self._remaining_s(deadline))
-                item = self._next_item(zone, evacuated)
+                item = self._next_item(call.zone, call.evacuated)
         except (TimeoutError, OutcomeUnknownError):
             return NOT_APPLIED
         try:
             await self._store.write([item], self._remaining_s(deadline))
         except OutcomeUnknownError as error:
-            fields = {"zone": zone, "evacuated": evacuated, "reason": error.reason}
+            fields = {**self._log_fields(call, item), "reason": error.reason}
             self._log(log_events.EVACUATION_OUTCOME_UNKNOWN, fields)
             return OUTCOME_UNKNOWN
         except NotAppliedError:
             return NOT_APPLIED
-        self._log(log_events.EVACUATION_APPLIED, {"zone": zone, "evacuated": evacuated})
+        self._log(log_events.EVACUATION_APPLIED, self._log_fields(call, item))
         return json_reply(HTTPStatus.OK)
 
+    def _log_fields(self, call: EvacuationCall, item: Item) -> dict[str, object]:
+        return {
+            "zone": call.zone,
+            "evacuated": call.evacuated,
+            "version": item.version[0],
+            "read_ms_ago": (self._monotonic_ns() - call.read_at) // NS_PER_MS,
+        }
+
     def _remaining_s(self, deadline: int) -> float:
         return (deadline - self._monotonic_ns()) / NS_PER_SECOND
 
--- a/ambershift/system/events.py
+++ b/ambershift/system/events.py
@@ -138,11 +138,16 @@
     601: EventDescription(INFO, "a configuration change was committed", ("items",)),
     602: EventDescription(WARNING, "a configuration change was rejected: it is invalid", ("reason",)),
     603: EventDescription(WARNING, "the outcome of a configuration change is unknown", ("reason", "items")),
-    604: EventDescription(INFO, "an evacuation was committed", ("zone", "evacuated"), {"evacuated": "out"}),
+    604: EventDescription(
+        INFO,
+        "an evacuation was committed",
+        ("zone", "evacuated", "version", "read_ms_ago"),
+        {"evacuated": "out"},
+    ),
     605: EventDescription(
         WARNING,
         "the outcome of an evacuation is unknown",
-        ("zone", "evacuated", "reason"),
+        ("zone", "evacuated", "version", "read_ms_ago", "reason"),
         {"evacuated": "out"},
     ),
     606: EventDescription(
--- a/ambershift/system/simulation/coordination_mistakes.py
+++ b/ambershift/system/simulation/coordination_mistakes.py
@@ -157,7 +157,9 @@
 def however_late(real: Any) -> Any:
     async def rpc(self: application.ControlApi, name: str, of: str, scope: Any, receive: Any) -> Any:
         if name.startswith("evacuation."):
-            return await self._evacuations.set_evacuated(of, name == "evacuation.initiate")
+            evacuated = name == "evacuation.initiate"
+            call = evacuations.EvacuationCall(of, evacuated, self._monotonic_ns())
+            return await self._evacuations.execute(call)
         return await real(self, name, of, scope, receive)
 
     return rpc
--- a/ambershift/system/simulation/variants_coordination.py
+++ b/ambershift/system/simulation/variants_coordination.py
@@ -129,7 +129,7 @@
         "LOST",
         "an evacuation goes above what is known here",
         evacuations.Evacuations,
-        "set_evacuated",
+        "execute",
         coordination_mistakes.without_freshening,
     ),
     of(
