Drop an evacuation call whose caller left before its version was chosen (EVAC)

Cause: calls on evacuations carry no version, so the later execution wins. A call that a partition held up was executed when it came, though its caller had sent it again elsewhere and ordered otherwise since: the end of its connection follows a round trip after the data that TCP resends (70 ms between regions), and only 30 ms were waited for. Neither that nor a pause of the process was looked at again before the version was chosen, after a quorum read.

Change: the connection is watched from the read of the call until its version is chosen, 0.3 s or more later, and the call is dropped (event 607) if the caller left or the process was stopped in between. It works for any length of the partition: a copy that comes after its caller left is dropped, one that comes before is executed before the caller's next call, which waits 0.3 s too.

--- a/ambershift/system/control_api/application.py
+++ b/ambershift/system/control_api/application.py
@@ -97,7 +97,7 @@
         self._coordination = CoordinationCalls(context, forwarding, RevisionAges(retention_ns), waiters)
         self._watches = Watches(context, forwarding, self._coordination, waiters)
         self._configuration = ConfigurationCalls(context, forwarding)
-        self._evacuations = Evacuations(context, settings)
+        self._evacuations = Evacuations(context, settings, self._pause_detector)
         self._directory = DirectoryCalls(settings, context.store, registry)
         self._tasks: set[asyncio.Task[None]] = set()
         self._routes = (
@@ -219,11 +219,11 @@
 
     async def _set_evacuated(self, zone: str, evacuated: bool, receive: asgi.Receive) -> Reply:
         call = EvacuationCall(zone, evacuated, self._monotonic_ns())
-        # A late call would undo what was ordered since, and no version tells that it is late.
-        await asgi.ensure_connected(receive)
-        if self._pause_detector.is_stale(self._monotonic_ns()):
-            return NOT_APPLIED
-        return await self._evacuations.execute(call)
+        connection = asgi.CallerConnection(receive)
+        try:
+            return await self._evacuations.execute(call, connection)
+        finally:
+            connection.stop_watching()
 
     async def _coordination_call(
         self, operation: str, subject_id: str, scope: asgi.Scope, receive: asgi.Receive
--- a/ambershift/system/control_api/asgi.py
+++ b/ambershift/system/control_api/asgi.py
@@ -10,8 +10,6 @@
 
 from ambershift.system.coordination.replies import Reply
 
-DISCONNECT_WAIT_S = 0.03
-
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
@@ -68,21 +66,27 @@
     return b"".join(chunks)
 
 
-async def ensure_connected(receive: Receive) -> None:
-    """Check that the caller is still there, after its request was read.
-
-    A network partition may delay both a request and the end of its connection, and then they come together:
-    this waits for a moment, so that the end is noticed although it is read after the request.
+class CallerConnection:
+    """The connection of a request whose body was read: notices that the caller closes it.
 
-    Raises:
-        CallerDisconnectedError: The caller closed its connection right after its request, or long ago.
+    Call `stop_watching` in the end.
     """
-    try:
-        async with asyncio.timeout(DISCONNECT_WAIT_S):
-            await receive()
-    except TimeoutError:
-        return
-    raise CallerDisconnectedError
+
+    def __init__(self, receive: Receive) -> None:
+        """Watch from now on; whatever ASGI receives after the body is the end of the connection."""
+        self._closed = asyncio.ensure_future(receive())
+
+    def is_closed(self) -> bool:
+        """Whether the caller is known to have closed it."""
+        return self._closed.done()
+
+    async def wait_closed(self, timeout_s: float) -> None:
+        """Wait until the caller has closed it, or for this long."""
+        await asyncio.wait([self._closed], timeout=timeout_s)
+
+    def stop_watching(self) -> None:
+        """The request is complete."""
+        self._closed.cancel()
 
 
 async def send_reply(send: Send, reply: Reply) -> None:
--- a/ambershift/system/control_api/pause_detector.py
+++ b/ambershift/system/control_api/pause_detector.py
@@ -18,6 +18,7 @@
     def __init__(self) -> None:
         self._last_tick: int | None = None
         self._stale_until = 0
+        self._resumed_at = 0
 
     def tick(self, now: int) -> int:
         """To be called many times a second. Returns for how long the process was stopped, or 0."""
@@ -25,6 +26,7 @@
         self._last_tick = now
         if gap < PAUSE_THRESHOLD_NS:
             return 0
+        self._resumed_at = now
         self._stale_until = now + STALE_PERIOD_NS
         return gap
 
@@ -33,3 +35,7 @@
         if self._last_tick is None:
             return False
         return now < self._stale_until or now - self._last_tick >= PAUSE_THRESHOLD_NS
+
+    def was_stopped_since(self, read_at: int, now: int) -> bool:
+        """Whether the process was stopped after it read a call, or the call may have waited for it."""
+        return self.is_stale(now) or self._resumed_at > read_at
--- a/ambershift/system/events.py
+++ b/ambershift/system/events.py
@@ -153,6 +153,9 @@
     606: EventDescription(
         WARNING, "a configuration change was rejected: its version has another content", ("reason",)
     ),
+    607: EventDescription(
+        INFO, "an evacuation call was dropped", ("zone", "evacuated", "read_ms_ago", "reason")
+    ),
     610: EventDescription(WARNING, "the outcome of a call is unknown", ("register", "reason")),
     611: EventDescription(INFO, "a call was rejected and not applied", ("register", "reason")),
     612: EventDescription(
--- a/ambershift/system/simulation/scripts.py
+++ b/ambershift/system/simulation/scripts.py
@@ -50,5 +50,6 @@
     "evacuation-without-asking": cluster.stale_copy,
     "late-order-carried-out": cluster.late_order,
     "order-of-one-who-left": cluster.late_order,
+    "end-of-connection-awaited-too-briefly": cluster.late_order_of_a_far_operator,
     "stopped-unnoticed": cluster.woken,
 }
--- a/ambershift/system/simulation/scripts_cluster.py
+++ b/ambershift/system/simulation/scripts_cluster.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from ambershift.system.control_api.evacuations import DISCONNECT_WAIT_S
 from ambershift.system.messages.replication import MergeItems, SyncResponse
 from ambershift.system.simulation.calling import Streets
 from ambershift.system.simulation.cluster import Cluster
@@ -81,7 +82,12 @@
     for _ in range(2):
         _until_done(cluster, streets, operator.evacuate("z1"))
     cluster.caught.clear()
-    cluster.late = lambda sender, to, message: False
+
+    def reach_again() -> None:
+        cluster.late = lambda sender, to, message: False
+
+    # As the third order is executed; it would not lag behind for long.
+    cluster.at(cluster.now + int(DISCONNECT_WAIT_S * NS_PER_SECOND), reach_again)
     streets.addresses = lambda: [behind]  # type: ignore[method-assign]
     _until_done(cluster, streets, operator.evacuate("z1"))
     assert [one.at is not None for one in history.orders["z1"]] == [True] * 3
@@ -91,11 +97,16 @@
     return history.judge()
 
 
-def late_order(stopped: bool = False) -> list[str]:
+def late_order_of_a_far_operator() -> list[str]:
+    """The end of the connection comes a round trip late, and the machines are near each other."""
+    return late_order(world=OneRegion)
+
+
+def late_order(stopped: bool = False, world: type[Cluster] = Cluster) -> list[str]:
     """An order is held up on its way (or the process that it came to is `stopped`) with the end of its
     connection, and another one is given meanwhile.
     """
-    cluster = Cluster(23, loss=0, count=3)
+    cluster = world(23, loss=0, count=3)
     cluster.run(2.5)
     streets, history = Streets(cluster, 23), OperatorHistory()
     reader, orders = Reader(streets, history), history.orders.setdefault("z1", [])
