Answer a watch that begins from no copy of its group older than a second (LOST)

Cause: Subscriptions.subscribe answered from the node's copy of the group, whatever its age. A node that proposed while the first choice was away keeps a copy for 60 s, and nobody tells it of puts once the first choice is back; the first choice keeps one too while it is away itself. The revision in the answer may be pruned elsewhere by then.

Evidence: a run with two new events: 615 at the node that answered, copy read 39,939 ms ago, revision 144; 616 at the first choice, events up to 291 pruned, which is the revision of 30 s before: pruning was right.

Change: a copy carries when the round began that read it. A watch that begins is answered from it within a second of that, by the node that keeps the group fresh for the watch; else the group is read again. A round or a fetched event list that outlasted a pause of the process completes no watch, a round that is reported late replaces no newer copy, and a notification is followed also where an old copy has its revision. The next call of a watch can't be pruned: HistoryS and 10 s pass from the copy's time on, and 1 s is used.

--- a/ambershift/system/control_api/application.py
+++ b/ambershift/system/control_api/application.py
@@ -93,7 +93,7 @@
         self._pending_calls = PendingCalls(context.send, first_number)
         forwarding = Forwarding(context, self._pending_calls, ProposerSelector(context))
         retention_ns = int((settings.bounds.history + HISTORY_MARGIN_S) * NS_PER_SECOND)
-        waiters = GroupWaiters(context.monotonic_ns)
+        waiters = GroupWaiters(context)
         self._coordination = CoordinationCalls(context, forwarding, RevisionAges(retention_ns), waiters)
         self._watches = Watches(context, forwarding, self._coordination, waiters)
         self._configuration = ConfigurationCalls(context, forwarding)
--- a/ambershift/system/control_api/coordination_calls.py
+++ b/ambershift/system/control_api/coordination_calls.py
@@ -75,7 +75,8 @@
 
     async def propose(self, call: RegisterCall, deadline: int) -> Reply:
         """Execute the call through this node, by a deadline (monotonic clock, ns)."""
-        within_s = (deadline - self._monotonic_ns()) / NS_PER_SECOND
+        began_at = self._monotonic_ns()
+        within_s = (deadline - began_at) / NS_PER_SECOND
         if within_s <= 0:
             return NOT_APPLIED
         observed = _ObservedChange(call.change)
@@ -91,7 +92,7 @@
             self._context.log(CHANGE_FAILED, {"register": call.register, "reason": repr(error)})
             return OUTCOME_UNKNOWN
         if reply.group is not None:
-            self._publish(call.register, reply.group, observed.changed)
+            self._publish(call.register, reply.group, began_at, observed.changed)
         return reply
 
     async def refresh_group(self, name: str, deadline: int) -> None:
@@ -115,17 +116,17 @@
     def _parse(self, operation: str, subject_id: str, body: bytes, sender: str, number: int) -> RegisterCall:
         return parse_call(operation, subject_id, body, f"{sender}/{number:x}", self._revision_ages)
 
-    def _publish(self, register: str, group: Group, changed: bool) -> None:
-        """A round on the group was agreed: complete its watches, and notify other nodes of a change.
+    def _publish(self, register: str, group: Group, began_at: int, changed: bool) -> None:
+        """A round, begun at `began_at`, was agreed: complete watches, and notify other nodes of a change.
 
         Watches wait at the first choice for a register; only where another node proposed, they must be
         notified.
         """
         name = register.removeprefix(GROUP_PREFIX)
         self._revision_ages.record(name, group.revision, self._monotonic_ns())
-        self._waiters.group_read(name, group)
+        self._waiters.group_read(name, group, began_at)
         if changed and not self._proposers.is_first_choice(register):
-            self._waiters.retain(name, group)
+            self._waiters.retain(name, group, began_at)
             for peer in self._proposers.live_peers():
                 self._context.send(peer, GroupChanged(name, group.revision))
 
--- a/ambershift/system/control_api/group_waiters.py
+++ b/ambershift/system/control_api/group_waiters.py
@@ -3,25 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
+from ambershift.system.control_api.context import NodeContext
+from ambershift.system.control_api.log_events import WATCH_MET_OLD_COPY
 from ambershift.system.control_api.subscriptions import Completion, Subscriptions
 from ambershift.system.coordination.groups import Group, PutEvent
 from ambershift.system.coordination.replies import Reply
+from ambershift.system.state_machine import NS_PER_MS
 
 
 class GroupWaiters:
     """`Subscriptions` with a clock and a future for each watch."""
 
-    def __init__(self, monotonic_ns: Callable[[], int]) -> None:
-        self._monotonic_ns = monotonic_ns
+    def __init__(self, context: NodeContext) -> None:
+        self._monotonic_ns = context.monotonic_ns
+        self._log = context.log
         self._subscriptions = Subscriptions()
         self._waiting: dict[int, asyncio.Future[Reply]] = {}
 
     def wait(self, token: int, name: str, after: int, keeps_fresh: bool) -> asyncio.Future[Reply]:
         """The reply to a watch; cancel it to end the wait. Arguments as for `Subscriptions.subscribe`."""
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
-        reply = self._subscriptions.subscribe(self._monotonic_ns(), token, name, after, keeps_fresh)
+        now = self._monotonic_ns()
+        if (old_copy := self._subscriptions.old_copy(now, name, after)) is not None:
+            fields = {"group": name, "after": after, "revision": old_copy.revision}
+            self._log(WATCH_MET_OLD_COPY, {**fields, "read_ms_ago": old_copy.age_ns // NS_PER_MS})
+        reply = self._subscriptions.subscribe(now, token, name, after, keeps_fresh)
         if reply is not None:
             future.set_result(reply)
             return future
@@ -34,13 +41,13 @@
         future.add_done_callback(end)
         return future
 
-    def group_read(self, name: str, group: Group) -> None:
-        """An agreed round has left or read the group so: complete its watches."""
-        self._complete(self._subscriptions.update(self._monotonic_ns(), name, group))
+    def group_read(self, name: str, group: Group, read_at: int) -> None:
+        """An agreed round, begun at `read_at` (ns), has left or read the group so: complete its watches."""
+        self._complete(self._subscriptions.update(self._monotonic_ns(), name, group, read_at))
 
-    def retain(self, name: str, group: Group) -> None:
+    def retain(self, name: str, group: Group, read_at: int) -> None:
         """Keep the group: other nodes are notified of it and will fetch its events from here."""
-        self._subscriptions.retain(self._monotonic_ns(), name, group)
+        self._subscriptions.retain(self._monotonic_ns(), name, group, read_at)
 
     def events_fetched(self, name: str, after: int, revision: int, events: tuple[PutEvent, ...]) -> None:
         """Another node has sent all events after a revision: complete the group's watches."""
--- a/ambershift/system/control_api/subscriptions.py
+++ b/ambershift/system/control_api/subscriptions.py
@@ -1,7 +1,8 @@
 """Which watches wait for which group, and which events complete them. Pure.
 
-Only what is certain is passed on: groups as agreed rounds have left or read them. All times are of the
-monotonic clock, in ns.
+Only what is certain is passed on: groups as agreed rounds have left or read them. A copy of a group ages, as
+other nodes may propose for it: a watch that begins is answered from a copy only as long as no other node can
+have pruned the events after its revision. All times are of the monotonic clock, in ns.
 """
 
 from __future__ import annotations
@@ -16,6 +17,9 @@
 
 # Puts may be agreed through other nodes, and their notifications be lost: after this a group is read again.
 FRESHNESS_NS = 3 * NS_PER_SECOND
+# A copy answers watches that begin for so long; it must stay far below the time that pruned events are kept
+# beyond `HistoryS`, and above the time that a round may take.
+COPY_VALIDITY_NS = NS_PER_SECOND
 IDLE_RETENTION_NS = 60 * NS_PER_SECOND  # A group that nobody has watched for so long is forgotten.
 
 
@@ -36,17 +40,35 @@
     """A group that is or was watched.
 
     Attributes:
-        group: The group as last read; None if it wasn't yet.
-        known_at: When it was read.
+        group: The copy: the group as last read; None if it wasn't yet.
+        read_at: When the round began that read it: the copy has all that was acknowledged before.
         used_at: When a watch of it began last.
         waiters: By token.
     """
 
     group: Group | None = None
-    known_at: int = 0
+    read_at: int = 0
     used_at: int = 0
     waiters: dict[int, _Waiter] = field(default_factory=dict)
 
+    def store(self, group: Group, read_at: int) -> None:
+        """Replace the copy, unless it is newer: rounds may be reported in another order than agreed."""
+        if self.group is None or group.revision >= self.group.revision:
+            self.group = group
+            self.read_at = max(self.read_at, read_at)
+
+
+class OldCopy(NamedTuple):
+    """A copy that has events for a watch but is too old to answer it.
+
+    Attributes:
+        revision: The copy's revision.
+        age_ns: How long ago it was read.
+    """
+
+    revision: int
+    age_ns: int
+
 
 class Completion(NamedTuple):
     """A watch that is complete: its token, and the reply to it."""
@@ -73,34 +95,45 @@
         """
         watched = self._watched.setdefault(name, _WatchedGroup())
         watched.used_at = now
-        reply = None if watched.group is None else events_since(watched.group, after)
+        reply = None
+        if keeps_fresh and watched.group is not None and now - watched.read_at < COPY_VALIDITY_NS:
+            reply = events_since(watched.group, after)
         if reply is None:
             watched.waiters[token] = _Waiter(after, keeps_fresh)
         return reply
 
+    def old_copy(self, now: int, name: str, after: int) -> OldCopy | None:
+        """The copy that a watch after this revision isn't answered from; None if there is none."""
+        watched = self._watched.get(name)
+        if watched is None or watched.group is None or watched.group.revision <= after:
+            return None
+        age_ns = now - watched.read_at
+        return OldCopy(watched.group.revision, age_ns) if age_ns >= COPY_VALIDITY_NS else None
+
     def unsubscribe(self, token: int, name: str) -> None:
         """The watch has ended, if it hasn't already."""
         watched = self._watched.get(name)
         if watched is not None:
             watched.waiters.pop(token, None)
 
-    def update(self, now: int, name: str, group: Group) -> list[Completion]:
-        """The group was read: it is at least so far. Returns the watches that this completes."""
+    def update(self, now: int, name: str, group: Group, read_at: int) -> list[Completion]:
+        """The group was read, by a round that began at `read_at`. Returns the watches that this completes.
+
+        A round that took longer than any may, since this process was stopped, completes none.
+        """
         watched = self._watched.get(name)
         if watched is None:
             return []
-        watched.group = group
-        watched.known_at = now
-        return self._complete(watched, group)
+        watched.store(group, read_at)
+        return self._complete(watched, group) if now - read_at < FRESHNESS_NS else []
 
-    def retain(self, now: int, name: str, group: Group) -> None:
+    def retain(self, now: int, name: str, group: Group, read_at: int) -> None:
         """Keep the group for other nodes' watches, whether or not it is watched here.
 
         They are notified of it and will fetch its events from here.
         """
         watched = self._watched.setdefault(name, _WatchedGroup())
-        watched.group = group
-        watched.known_at = now
+        watched.store(group, read_at)
         watched.used_at = now
 
     def apply_events(
@@ -129,25 +162,28 @@
     def revision_to_fetch_after(self, name: str, revision: int) -> int | None:
         """Another node has put up to this revision: after which revision are events needed here?
 
-        None if no watch waits here for what was put, or it is known already.
+        None if no watch waits here for what was put.
         """
         watched = self._watched.get(name)
-        if watched is None or (watched.group is not None and watched.group.revision >= revision):
+        if watched is None:
             return None
         behind = (waiter.after for waiter in watched.waiters.values() if waiter.after < revision)
         return min(behind, default=None)
 
     def needs_refresh(self, now: int, name: str) -> bool:
-        """Whether a watch waits on a reading that is too old, or older than what its caller has seen."""
+        """Whether a watch waits on a copy that is too old, or older than what its caller has seen.
+
+        A copy that has events for a watch that waits was too old to answer it.
+        """
         watched = self._watched.get(name)
         if watched is None:
             return False
         seen = [waiter.after for waiter in watched.waiters.values() if waiter.keeps_fresh]
         if not seen:
             return False
-        if watched.group is None or now - watched.known_at >= FRESHNESS_NS:
+        if watched.group is None or now - watched.read_at >= FRESHNESS_NS:
             return True
-        return max(seen) > watched.group.revision
+        return max(seen) > watched.group.revision or min(seen) < watched.group.revision
 
     def groups_to_refresh(self, now: int) -> list[str]:
         """The groups to read again. Forgets groups that nobody has watched for a long time."""
--- a/ambershift/system/control_api/watches.py
+++ b/ambershift/system/control_api/watches.py
@@ -11,7 +11,9 @@
 from ambershift.system.control_api.coordination_calls import CoordinationCalls
 from ambershift.system.control_api.forwarding import NOT_APPLIED, Forwarding
 from ambershift.system.control_api.group_waiters import GroupWaiters
+from ambershift.system.control_api.log_events import WATCH_EVENTS_PRUNED
 from ambershift.system.control_api.routes import WATCH_OPERATION
+from ambershift.system.control_api.subscriptions import FRESHNESS_NS
 from ambershift.system.coordination.calls import GROUP_PREFIX, SNAPSHOT_GROUP
 from ambershift.system.coordination.groups import PutEvent
 from ambershift.system.coordination.replies import Reply, json_reply
@@ -42,6 +44,7 @@
         self._ip = context.ip
         self._store = context.store
         self._monotonic_ns = context.monotonic_ns
+        self._log = context.log
         self._forwarding = forwarding
         self._pending_calls = forwarding.pending_calls
         self._proposers = forwarding.proposers
@@ -57,6 +60,12 @@
         """
         if after == 0:
             return await self._coordination.execute(SNAPSHOT_GROUP, name, b"")
+        reply = await self._wait(name, after, wait_ns)
+        if reply.status == HTTPStatus.GONE:
+            self._log(WATCH_EVENTS_PRUNED, {"group": name, "after": after})
+        return reply
+
+    async def _wait(self, name: str, after: int, wait_ns: int) -> Reply:
         deadline = self._monotonic_ns() + wait_ns
         while (now := self._monotonic_ns()) < deadline and not self._closed:
             if not self._store.has_quorum_contact():
@@ -139,11 +148,14 @@
         after = self._waiters.revision_to_fetch_after(name, notification.revision)
         if after is None:
             return
+        began_at = self._monotonic_ns()
         number = self._pending_calls.next_number()
         call = _watch_call(number, name, after, EVENT_FETCH_TIMEOUT_NS // NS_PER_MS)
         response = self._pending_calls.forward(sender, call)
         await asyncio.wait([response], timeout=EVENT_FETCH_TIMEOUT_NS / NS_PER_SECOND)
-        if not response.done() or response.result().status != HTTPStatus.OK:
+        # A process that was stopped meanwhile reads the response late, and its revision is old by then.
+        is_late = self._monotonic_ns() - began_at >= FRESHNESS_NS
+        if is_late or not response.done() or response.result().status != HTTPStatus.OK:
             response.cancel()
             self._refresh(name)
             return
--- a/ambershift/system/events.py
+++ b/ambershift/system/events.py
@@ -166,4 +166,12 @@
     ),
     613: EventDescription(WARNING, "the process was paused; waiting calls are rejected", ("stopped_ms",)),
     614: EventDescription(ERROR, "the store failed on a call", ("register", "reason")),
+    615: EventDescription(
+        INFO,
+        "a watch began where an old copy of its group is kept",
+        ("group", "after", "revision", "read_ms_ago"),
+    ),
+    616: EventDescription(
+        INFO, "a watch got 410: the events that it asked for are pruned", ("group", "after")
+    ),
 }
--- a/ambershift/system/simulation/coordination_mistakes.py
+++ b/ambershift/system/simulation/coordination_mistakes.py
@@ -146,7 +146,7 @@
         def change(value: bytes | None, since: int, now: int) -> ChangeOutcome:
             verdict: ChangeOutcome = call.change(value, since, now)
             if verdict.result.group is not None:
-                self._waiters.group_read(call.register.removeprefix("g/"), verdict.result.group)
+                self._waiters.group_read(call.register.removeprefix("g/"), verdict.result.group, now)
             return verdict
 
         return await real(self, RegisterCall(call.register, change), until)
--- a/tests/system/control_api/test_calls_with_faults.py
+++ b/tests/system/control_api/test_calls_with_faults.py
@@ -201,7 +201,7 @@
     subscriptions = Subscriptions()
     assert subscriptions.subscribe(0, 1, "g.", 5, True) is None and subscriptions.needs_refresh(0, "g.")
     group = Group(5, 5, {}, ())
-    assert subscriptions.update(0, "g.", group) == [] and not subscriptions.groups_to_refresh(
+    assert subscriptions.update(0, "g.", group, 0) == [] and not subscriptions.groups_to_refresh(
         FRESHNESS_NS - 1
     )
     assert subscriptions.groups_to_refresh(FRESHNESS_NS) == ["g."]  # A notification may have been lost.
@@ -210,7 +210,8 @@
         and not subscriptions.revision_to_fetch_after("g.", 5)
         and not subscriptions.revision_to_fetch_after("h.", 6)
     )
-    assert [token for token, _ in subscriptions.update(FRESHNESS_NS, "g.", group.put("g.a", "v", 0))] == [1]
+    put = group.put("g.a", "v", 0)
+    assert [token for token, _ in subscriptions.update(FRESHNESS_NS, "g.", put, FRESHNESS_NS)] == [1]
     subscriptions.subscribe(FRESHNESS_NS, 2, "g.", 9, False)
     assert not subscriptions.needs_refresh(FRESHNESS_NS, "g.")  # Another node keeps it fresh.
     subscriptions.subscribe(FRESHNESS_NS, 3, "g.", 9, True)
