--- a/ambershift/system/control_api/watches.py
+++ b/ambershift/system/control_api/watches.py
@@ -92,7 +92,11 @@
         return reply or NOT_APPLIED
 
     async def _wait_at(self, proposer: str, name: str, after: int, deadline: int, now: int) -> Reply | None:
-        """Wait at one node, and here too; None where it doesn't propose any more, or time is up."""
+        """Wait at one node, and here too.
+
+        None where that node doesn't propose any more, time is up, or this process was stopped: a reply that
+        it reads then is of the time before, and its revision may be pruned.
+        """
         number = self._pending_calls.next_number()
         replies = [self._wait_here(number, name, after, keeps_fresh=proposer == self._ip)]
         if proposer != self._ip and not replies[0].done():
@@ -101,12 +105,15 @@
         try:
             completed: set[asyncio.Future[Reply]] = set()
             while not completed:
-                timeout_ns = min(deadline - self._monotonic_ns(), PROPOSER_CHECK_INTERVAL_NS)
+                began_at = self._monotonic_ns()
+                timeout_ns = min(deadline - began_at, PROPOSER_CHECK_INTERVAL_NS)
                 if timeout_ns <= 0 or not self._is_usable(proposer, name):
                     return None
                 completed, _ = await asyncio.wait(
                     replies, timeout=timeout_ns / NS_PER_SECOND, return_when=asyncio.FIRST_COMPLETED
                 )
+                if self._is_outdated(began_at):
+                    return None
             reply = completed.pop().result()
             if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
                 self._proposers.suspect(proposer)  # It is out of contact, or about to end.
@@ -116,6 +123,10 @@
             for future in replies:
                 future.cancel()
 
+    def _is_outdated(self, asked_at: int) -> bool:
+        """Whether a reply to what was asked then is too old to pass on, as this process was stopped."""
+        return self._monotonic_ns() - asked_at >= FRESHNESS_NS
+
     def _is_usable(self, proposer: str, name: str) -> bool:
         return (
             self._proposers.proposer_of(GROUP_PREFIX + name) == proposer and self._store.has_quorum_contact()
@@ -153,9 +164,8 @@
         call = _watch_call(number, name, after, EVENT_FETCH_TIMEOUT_NS // NS_PER_MS)
         response = self._pending_calls.forward(sender, call)
         await asyncio.wait([response], timeout=EVENT_FETCH_TIMEOUT_NS / NS_PER_SECOND)
-        # A process that was stopped meanwhile reads the response late, and its revision is old by then.
-        is_late = self._monotonic_ns() - began_at >= FRESHNESS_NS
-        if is_late or not response.done() or response.result().status != HTTPStatus.OK:
+        has_failed = not response.done() or response.result().status != HTTPStatus.OK
+        if has_failed or self._is_outdated(began_at):
             response.cancel()
             self._refresh(name)
             return
--- a/tests/system/control_api/test_resumed_watches.py
+++ b/tests/system/control_api/test_resumed_watches.py
@@ -7,11 +7,13 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+import msgspec
 import pytest
 
 from ambershift.system.control_api.log_events import WATCH_EVENTS_PRUNED, WATCH_MET_OLD_COPY
 from ambershift.system.control_api.subscriptions import COPY_VALIDITY_NS, FRESHNESS_NS, Subscriptions
-from ambershift.system.coordination.groups import EMPTY_GROUP, Group
+from ambershift.system.coordination.groups import EMPTY_GROUP, Group, decode_group, encode_group
+from ambershift.system.messages.forwarding import ForwardedResponse
 from ambershift.system.state_machine import NS_PER_SECOND
 from tests.support.fake_control_nodes import IPS, FakeCluster, proposer_ranking
 
@@ -156,3 +158,62 @@
     subscriptions.retain(0, GROUP, group_at(5), 0)
     assert subscriptions.subscribe(COPY_VALIDITY_NS, 1, GROUP, 3, False) is None
     assert subscriptions.revision_to_fetch_after(GROUP, 5) == 3
+
+
+def put_elsewhere(cluster: FakeCluster) -> int:
+    """A put through a node that isn't simulated. Returns the group's revision after it."""
+    register = "g/" + GROUP
+    group = decode_group(cluster.registers[register]).put(GROUP + "a", "elsewhere", 0)
+    cluster.registers[register] = encode_group(group)
+    return group.revision
+
+
+async def test_a_node_that_was_stopped_passes_on_no_reply_from_before(
+    cluster: FakeCluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against LOST: the reply waited in a socket, and its revision is pruned by now.
+    writer = Writer(cluster)
+    await writer.put(OTHER)
+    node, newest = cluster.nodes[OTHER], 0
+    receive = node.handle_message
+
+    def receive_after_a_stop(sender: str, message: msgspec.Struct) -> None:
+        nonlocal newest
+        if isinstance(message, ForwardedResponse) and b"Events" in message.body and not newest:
+            cluster.loop.now += 40
+            newest = put_elsewhere(cluster)
+        receive(sender, message)
+
+    path = f"/ambershift/watch/{GROUP}?after={writer.newest}&WaitMs=60000"
+    waiting = asyncio.create_task(cluster.call(OTHER, "GET", path))
+    await asyncio.sleep(0.2)
+    monkeypatch.setattr(node, "handle_message", receive_after_a_stop)
+    await writer.put(TAKES_OVER)
+    status, reply = await waiting
+    assert newest and (status, reply["Revision"]) == (200, newest)
+
+
+async def test_a_node_that_was_stopped_passes_on_no_events_that_it_asked_for_before(
+    cluster: FakeCluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against LOST, as above: the events that a notification made the node fetch.
+    writer = Writer(cluster)
+    await writer.put(OTHER)
+    node, newest = cluster.nodes[FIRST_CHOICE], 0
+    receive = node.handle_message
+
+    def receive_after_a_stop(sender: str, message: msgspec.Struct) -> None:
+        nonlocal newest
+        if isinstance(message, ForwardedResponse) and not newest:
+            cluster.loop.now += 40
+            newest = put_elsewhere(cluster)
+        receive(sender, message)
+
+    path = f"/ambershift/watch/{GROUP}?after={writer.newest}&WaitMs=60000"
+    waiting = asyncio.create_task(cluster.call(FIRST_CHOICE, "GET", path))
+    await asyncio.sleep(0.2)
+    monkeypatch.setattr(node, "handle_message", receive_after_a_stop)
+    cluster.stores[FIRST_CHOICE].faults = ["refused"]
+    await writer.put(TAKES_OVER)  # It proposes, and notifies the first choice.
+    status, reply = await waiting
+    assert newest and (status, reply["Revision"]) == (200, newest)
